--- /dev/null
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -0,0 +1,53 @@
+package lemondrift.decide;
+
+import java.util.Arrays;
+import lemondrift.model.Exchange;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
+final class Admission extends Stage {
+    /** The share of its contract time that an exchange of no benefit may wait; most benefit: all. */
+    private static final double LEAST_SHARE = 0.4;
+
+    private final Eligibility eligibility;
+    private final Selection selection;
+    private final double[] benefit;
+    private final double[] quota;
+    private final double excessBenefit;
+    private final double mostBenefit;
+    private final double[] used;
+    private double usedAt;
+
+    Admission(Settings s, Eligibility eligibility, Selection selection) {
+        this.eligibility = eligibility;
+        this.selection = selection;
+        benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
+        mostBenefit = Arrays.stream(benefit).max().orElse(1);
+        quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
+        used = new double[quota.length];
+        excessBenefit = s.excessBenefit();
+    }
+
+    @Override
+    void offer(Exchange x, double now, Turn turn) {
+        double worth = benefit[x.grade] / mostBenefit;
+        if (x.tenant < quota.length) {
+            for (int i = 0; i < used.length; i++) {
+                used[i] *= Math.exp(-(now - usedAt) / Selection.WINDOW);
+            }
+            usedAt = now;
+            used[x.tenant] += x.forwards == 0 ? 1 / Selection.WINDOW : 0;
+            worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
+        }
+        double wait = eligibility.leastWait(now);
+        double limit = (LEAST_SHARE + (1 - LEAST_SHARE) * worth) * (x.contract - now);
+        boolean tooLate = wait + selection.serviceTime(now) > limit;
+        if (tooLate) {
+            giveUp(x, Math.max(Selection.WINDOW / 10, wait), now, turn);
+        } else {
+            super.offer(x, now, turn);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -0,0 +1,106 @@
+package lemondrift.decide;
+
+import java.util.List;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/**
+ * The decisions of one proxy. Make one from its Settings and seed, call a method for each thing that happens,
+ * in order, with the time in seconds, and carry out the Turn it returns before the next call reuses it.
+ * Call wake at or after Turn.wakeAt. The interface is this class and the types of lemondrift.model.
+ * An exchange passes Expiry, Admission, Repeats, Eligibility and Selection; endings run back in reverse.
+ */
+public final class Balancer {
+    private final Turn turn = new Turn();
+    private final Fleet fleet = new Fleet();
+    private final Expiry expiry;
+    private final Eligibility eligibility;
+    private final Selection selection;
+    private final Lists lists;
+
+    public Balancer(Settings settings, long seed) {
+        Chance chance = new Chance(seed);
+        expiry = new Expiry(settings);
+        selection = new Selection(settings, fleet, chance);
+        eligibility = new Eligibility(settings, fleet, selection, chance);
+        lists = new Lists(settings, chance);
+        expiry.then(new Admission(settings, eligibility, selection)).then(new Repeats(settings, fleet))
+                .then(eligibility).then(selection);
+    }
+
+    public Turn exchangeArrived(double now, Exchange x) {
+        turn.clear();
+        selection.arrived(x, now);
+        expiry.take(x, now, turn);
+        return done(now);
+    }
+
+    /** Over tells that the exchange has had its final answer, by this outcome or before. */
+    public Turn forwardEnded(double now, Forward f, Outcome outcome, double took, boolean over,
+            double[] report) {
+        turn.clear();
+        f.ended = true;
+        f.exchange.out--;
+        f.exchange.over |= over;
+        selection.reported(f.backend, report, outcome == Outcome.DELIVERED, now);
+        selection.ended(f, outcome, took, now, turn);
+        return done(now);
+    }
+
+    /** The answer streams: the client has it, and no time-out runs any more. */
+    public Turn answerBegun(double now, Forward f) {
+        turn.clear();
+        f.exchange.begun = true;
+        return done(now);
+    }
+
+    /** Whole lists name every backend; a stale one is what was held before this proxy started. */
+    public Turn backendsListed(double now, boolean whole, boolean stale, List<Listed> lines) {
+        turn.clear();
+        fleet.listed(whole, lines);
+        selection.listed(now);
+        eligibility.listed(now);
+        lists.listed(stale, now);
+        lists.wake(now, turn);
+        return done(now);
+    }
+
+    public Turn listFailed(double now) {
+        turn.clear();
+        lists.failed(now, turn);
+        return done(now);
+    }
+
+    public Turn probeAnswered(double now, int backend, boolean answered, double[] report) {
+        turn.clear();
+        selection.reported(backend, report, answered, now);
+        eligibility.probed(backend, answered, now, turn);
+        return done(now);
+    }
+
+    /** Nothing is owed any more; what is out is called off. */
+    public Turn clientLeft(double now, Exchange x) {
+        turn.clear();
+        expiry.clientLeft(x, turn);
+        return done(now);
+    }
+
+    public Turn wake(double now) {
+        turn.clear();
+        expiry.wake(now, turn);
+        selection.wake(now, turn);
+        eligibility.wake(now, turn);
+        lists.wake(now, turn);
+        return done(now);
+    }
+
+    private Turn done(double now) {
+        turn.wakeAt = Math.min(Math.min(expiry.wakeAt(), lists.wakeAt()),
+                Math.min(selection.wakeAt(), eligibility.wakeAt()));
+        return turn;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -0,0 +1,90 @@
+package lemondrift.decide;
+
+import java.util.PriorityQueue;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Outcome;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/** Rule 1: one final answer before expiry and nothing sent after it. */
+final class Expiry extends Stage {
+    private final ServiceGrade[] grades;
+    private final boolean mayCancel;
+    private final double longestRetryAfter;
+    private final PriorityQueue<Exchange> open =
+            new PriorityQueue<>((a, b) -> Double.compare(a.expiry, b.expiry));
+
+    Expiry(Settings s) {
+        grades = s.grades().toArray(new ServiceGrade[0]);
+        mayCancel = s.limits().cancel();
+        longestRetryAfter = s.limits().retryAfter();
+    }
+
+    /** Takes a new exchange; where a late answer brings nothing, its useful time is the contract time. */
+    void take(Exchange x, double now, Turn turn) {
+        ServiceGrade grade = grades[x.grade];
+        double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
+        x.contract = Math.min(x.expiry, x.arrived + useful);
+        open.add(x);
+        again(x, now, turn);
+    }
+
+    private void again(Exchange x, double now, Turn turn) {
+        if (now < x.contract) {
+            offer(x, now, turn);
+        } else {
+            giveUp(x, 0, now, turn);
+        }
+    }
+
+    @Override
+    void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
+        Exchange x = f.exchange;
+        if (!x.over && x.out == 0) {
+            again(x, now, turn);
+        }
+    }
+
+    /** Danger: a shed reply invites a retry, which would be a second effect if an earlier forward ran. */
+    @Override
+    void giveUp(Exchange x, double comeBack, double now, Turn turn) {
+        if (!x.over) {
+            x.over = true;
+            boolean shed = Repeats.mayShed(grades[x.grade], x);
+            turn.answers.add(new Turn.Answer(x, shed, shed ? Math.min(comeBack, longestRetryAfter) : 0));
+            cancelAll(x, turn);
+        }
+    }
+
+    void clientLeft(Exchange x, Turn turn) {
+        x.over = true;
+        cancelAll(x, turn);
+    }
+
+    private void cancelAll(Exchange x, Turn turn) {
+        for (Forward f = x.latest; f != null && mayCancel && !x.begun; f = f.earlier) {
+            if (!f.ended) {
+                turn.cancels.add(f);
+            }
+        }
+    }
+
+    /** The safe alarm: whatever went wrong, what is still open at its expiry is answered. */
+    void wake(double now, Turn turn) {
+        while (wakeAt() <= now) {
+            Exchange x = open.poll();
+            if (!x.begun) {
+                giveUp(x, 0, now, turn);
+            }
+        }
+    }
+
+    double wakeAt() {
+        while (!open.isEmpty() && open.peek().over) {
+            open.poll();
+        }
+        return open.isEmpty() ? Double.POSITIVE_INFINITY : open.peek().expiry;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -0,0 +1,85 @@
+package lemondrift.decide;
+
+import lemondrift.model.Effect;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Group;
+import lemondrift.model.Outcome;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/** Rule 2: no effect twice. Says whether an exchange may be forwarded again, and to which backends. */
+final class Repeats extends Stage {
+    /** Further forwards stay under this share of first ones: a retry storm is never of our making. */
+    private static final double RETRY_SHARE = 0.25;
+
+    private final ServiceGrade[] grades;
+    private final int mostForwards;
+    private final double retryCredit;
+    private final Fleet fleet;
+    private double credit;
+
+    Repeats(Settings s, Fleet fleet) {
+        grades = s.grades().toArray(new ServiceGrade[0]);
+        mostForwards = s.limits().forwards();
+        retryCredit = 2 * mostForwards;
+        credit = retryCredit;
+        this.fleet = fleet;
+    }
+
+    /** A shed reply promises that a retry is harmless. */
+    static boolean mayShed(ServiceGrade grade, Exchange x) {
+        return grade.effect() == Effect.PURE || x.mayHaveRun == null && x.out == 0
+                || grade.effect() == Effect.RECEIPTED && grade.group() == Group.ALL;
+    }
+
+    @Override
+    void offer(Exchange x, double now, Turn turn) {
+        ServiceGrade grade = grades[x.grade];
+        boolean repeat = x.forwards > 0;
+        if (repeat && (x.forwards >= mostForwards || credit < 1 || !mayForward(grade, x, now))) {
+            giveUp(x, 0, now, turn);
+            return;
+        }
+        credit = repeat ? credit - 1 : Math.min(retryCredit, credit + RETRY_SHARE);
+        boolean bound = grade.effect() == Effect.RECEIPTED && x.mayHaveRun != null;
+        for (int i = 0; i < fleet.size; i++) {
+            fleet.candidate[i] = fleet.ready[i] && (!bound || sameGroup(grade, x.mayHaveRun.backend, i));
+        }
+        boolean elsewhere = false;
+        for (Forward f = x.latest; f != null; f = f.earlier) {
+            fleet.tried[f.backend] = true;
+        }
+        for (int i = 0; i < fleet.size; i++) {
+            elsewhere |= fleet.candidate[i] && !fleet.tried[i];
+        }
+        for (int i = 0; i < fleet.size; i++) {
+            fleet.candidate[i] &= !(elsewhere && fleet.tried[i]);
+            fleet.tried[i] = false;
+        }
+        super.offer(x, now, turn);
+    }
+
+    /** Danger: receipts are forgotten after a while, counted from the first send that may have run. */
+    private static boolean mayForward(ServiceGrade grade, Exchange x, double now) {
+        return x.mayHaveRun == null || grade.effect() == Effect.PURE
+                || grade.effect() == Effect.RECEIPTED && now - x.mayHaveRun.sent < grade.receiptMemory();
+    }
+
+    private boolean sameGroup(ServiceGrade grade, int a, int b) {
+        return switch (grade.group()) {
+            case ALL -> true;
+            case LOCATION -> fleet.location[a] == fleet.location[b];
+            case CELL -> fleet.location[a] == fleet.location[b] && fleet.cell[a] == fleet.cell[b];
+        };
+    }
+
+    @Override
+    void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
+        if (!outcome.neverRan && (f.exchange.mayHaveRun == null || f.sent < f.exchange.mayHaveRun.sent)) {
+            f.exchange.mayHaveRun = f;
+        }
+        super.ended(f, outcome, took, now, turn);
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -0,0 +1,246 @@
+package lemondrift.decide;
+
+import java.util.Arrays;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Outcome;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
+final class Selection extends Stage {
+    /** The window of the design page, seconds. */
+    static final double WINDOW = 1;
+    /** From this report on utilisations separate nothing, and work waiting is added to the estimate. */
+    private static final double SATURATED = 0.9;
+    /** Floor and cap of a service time, as a ratio to the fleet's. */
+    private static final double SPREAD = 3;
+    /** The share of all benefit that probes may cost. */
+    private static final double PROBE_COST = 0.0025;
+
+    private final Fleet fleet;
+    private final Chance chance;
+    private final int balancers;
+    private final int here;
+    private final double crossing;
+    private final double probeCharge;
+    private final boolean byProbe;
+    private final Settings.Reports places;
+    private final double[] benefit;
+    private final double shortest;
+    private double benefitMean;
+    private double rate;
+    private double rateAt;
+
+    private double[] report = new double[0];
+    private double[] waiting = new double[0];
+    private double[] reportAt = new double[0];
+    private double[] sends = new double[0];
+    private double[] ownRate = new double[0];
+    private double[] ownRateAt = new double[0];
+    private double[] meanReport = new double[0];
+    private double[] served = new double[0];
+    private double[] probeAt = new double[0];
+
+    Selection(Settings s, Fleet fleet, Chance chance) {
+        this.fleet = fleet;
+        this.chance = chance;
+        balancers = s.balancers();
+        here = s.location();
+        crossing = s.charges().crossing();
+        probeCharge = s.charges().probe();
+        byProbe = s.reports().byProbe() && s.limits().probes();
+        places = s.reports();
+        benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
+        benefitMean = Arrays.stream(benefit).average().orElse(1);
+        shortest = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(WINDOW);
+    }
+
+    void listed(double now) {
+        int known = report.length;
+        report = Arrays.copyOf(report, fleet.size);
+        waiting = Arrays.copyOf(waiting, fleet.size);
+        reportAt = Arrays.copyOf(reportAt, fleet.size);
+        sends = Arrays.copyOf(sends, fleet.size);
+        ownRate = Arrays.copyOf(ownRate, fleet.size);
+        ownRateAt = Arrays.copyOf(ownRateAt, fleet.size);
+        meanReport = Arrays.copyOf(meanReport, fleet.size);
+        served = Arrays.copyOf(served, fleet.size);
+        probeAt = Arrays.copyOf(probeAt, fleet.size);
+        for (int i = known; i < fleet.size; i++) {
+            forget(i);
+            ownRateAt[i] = now;
+            probeAt[i] = now + chance.next() * WINDOW / 2;
+        }
+    }
+
+    /** A backend that started afresh is unreported again. */
+    void forget(int i) {
+        report[i] = Double.NaN;
+        meanReport[i] = Double.NaN;
+        sends[i] = 0;
+        waiting[i] = 0;
+    }
+
+    void reported(int i, double[] figures, boolean delivered, double now) {
+        if (figures == null || places.utilisation() < 0 || places.utilisation() >= figures.length) {
+            return;
+        }
+        double u = figures[places.utilisation()];
+        // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
+        report[i] = delivered ? u : Math.max(u, mean());
+        waiting[i] = figure(figures, places.queue());
+        served[i] = figure(figures, places.rate());
+        double fresh = 1 - Math.exp(-(now - reportAt[i]) / WINDOW);
+        meanReport[i] = Double.isNaN(meanReport[i]) ? u : meanReport[i] + fresh * (u - meanReport[i]);
+        reportAt[i] = now;
+        sends[i] = 0;
+    }
+
+    private static double figure(double[] figures, int place) {
+        return place >= 0 && place < figures.length ? figures[place] : Double.NaN;
+    }
+
+    /** The mean of the reports at hand; a half before the first. */
+    private double mean() {
+        double sum = 0;
+        int count = 0;
+        for (int i = 0; i < fleet.size; i++) {
+            if (fleet.ready[i] && !Double.isNaN(report[i])) {
+                sum += report[i];
+                count++;
+            }
+        }
+        return count == 0 ? 0.5 : sum / count;
+    }
+
+    private double rate(int i, double now) {
+        return ownRate[i] * Math.exp(-(now - ownRateAt[i]) / WINDOW);
+    }
+
+    /** The fleet's service time: utilisation over exchanges a second, held to what the contract can mean. */
+    double serviceTime(double now) {
+        double u = 0;
+        double sent = 0;
+        for (int i = 0; i < fleet.size; i++) {
+            if (fleet.ready[i] && !Double.isNaN(meanReport[i])) {
+                u += meanReport[i];
+                sent += Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
+            }
+        }
+        double s = sent > 0 ? u / sent : shortest / 4;
+        return Math.max(shortest / 100, Math.min(shortest, s));
+    }
+
+    /** The utilisation that one exchange adds at a backend, given the fleet's service time. */
+    private double worth(int i, double fleetTime, double now) {
+        double sent = Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
+        double s = Double.isNaN(meanReport[i]) || sent <= 0 ? fleetTime : meanReport[i] / sent;
+        s = Math.max(fleetTime / SPREAD, Math.min(fleetTime * SPREAD, s));
+        return s * balancers / WINDOW;
+    }
+
+    /** The estimate. A report older than the window fades towards the mean. */
+    private double estimate(int i, double mean, double fleetTime, double now) {
+        double coldShare = fleet.coldShare[i];
+        double worth = worth(i, fleetTime, now) / coldShare;
+        double base = mean;
+        if (!Double.isNaN(report[i])) {
+            double trust = Math.min(1, WINDOW / Math.max(WINDOW, now - reportAt[i]));
+            double seen = report[i];
+            if (seen >= SATURATED) {
+                seen += Double.isNaN(waiting[i]) ? fleet.out[i] * worth / balancers : waiting[i] * worth;
+            }
+            base += trust * (seen - mean);
+        }
+        // Danger: a cold backend reports near nothing and draws more than it can bear.
+        return (coldShare < 1 ? Math.max(base, mean) : base) + sends[i] * worth;
+    }
+
+    /** How long the least loaded of the given backends lets an exchange wait before its work begins. */
+    double leastWait(boolean[] among, double now) {
+        double mean = mean();
+        double fleetTime = serviceTime(now);
+        double least = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < fleet.size; i++) {
+            if (among[i]) {
+                least = Math.min(least, estimate(i, mean, fleetTime, now));
+            }
+        }
+        return Math.max(0, least - 1) * WINDOW / balancers;
+    }
+
+    /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
+    private int pick(Exchange x, double now) {
+        double mean = mean();
+        double fleetTime = serviceTime(now);
+        double cross = crossing * benefitMean / Math.max(benefit[x.grade], benefitMean / 100);
+        double least = Double.POSITIVE_INFINITY;
+        int pick = -1;
+        for (int i = 0; i < fleet.size; i++) {
+            if (fleet.candidate[i]) {
+                double e = estimate(i, mean, fleetTime, now)
+                        + (fleet.location[i] == here ? 0 : cross);
+                e = fleet.first[i] ? -1 : e + 1e-6 * chance.next();
+                if (e < least) {
+                    least = e;
+                    pick = i;
+                }
+            }
+        }
+        return pick;
+    }
+
+    @Override
+    void offer(Exchange x, double now, Turn turn) {
+        int i = pick(x, now);
+        if (i < 0) {
+            giveUp(x, WINDOW, now, turn);
+            return;
+        }
+        x.latest = new Forward(x, i, now, x.contract - now);
+        x.forwards++;
+        x.out++;
+        turn.sends.add(x.latest);
+        sends[i]++;
+        fleet.out[i]++;
+        ownRate[i] = rate(i, now) + 1 / WINDOW;
+        ownRateAt[i] = now;
+    }
+
+    void arrived(Exchange x, double now) {
+        benefitMean += (benefit[x.grade] - benefitMean) / 100;
+        rate = rate * Math.exp(-(now - rateAt) / WINDOW) + 1 / WINDOW;
+        rateAt = now;
+    }
+
+    @Override
+    void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
+        fleet.out[f.backend]--;
+        super.ended(f, outcome, took, now, turn);
+    }
+
+    /** Probes now and then, jittered, where reports come no other way. */
+    void wake(double now, Turn turn) {
+        if (!byProbe) {
+            return;
+        }
+        double spare = PROBE_COST * Math.max(1, rate);
+        double interval = Math.max(WINDOW / 2, probeCharge * fleet.readyCount() / spare);
+        for (int i = 0; i < fleet.size; i++) {
+            if (fleet.ready[i] && probeAt[i] <= now) {
+                turn.probes.add(i);
+                probeAt[i] = now + chance.jitter(interval);
+            }
+        }
+    }
+
+    double wakeAt() {
+        double at = Double.POSITIVE_INFINITY;
+        for (int i = 0; byProbe && i < fleet.size; i++) {
+            at = fleet.ready[i] ? Math.min(at, probeAt[i]) : at;
+        }
+        return at;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Stage.java
@@ -0,0 +1,33 @@
+package lemondrift.decide;
+
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Outcome;
+import lemondrift.model.Turn;
+
+/** One link of the chain. An exchange goes outward until a stage ends it; an ending comes back inward. */
+abstract class Stage {
+    private Stage inner;
+    private Stage outer;
+
+    /** Links the next stage outward and returns it. */
+    final Stage then(Stage next) {
+        outer = next;
+        next.inner = this;
+        return next;
+    }
+
+    /** Passes the exchange on, or gives it up; the exchange has nothing out. */
+    void offer(Exchange x, double now, Turn turn) {
+        outer.offer(x, now, turn);
+    }
+
+    void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
+        inner.ended(f, outcome, took, now, turn);
+    }
+
+    /** Ends the exchange with an answer at once; comeBack is when a retry makes sense, 0 where unknown. */
+    void giveUp(Exchange x, double comeBack, double now, Turn turn) {
+        inner.giveUp(x, comeBack, now, turn);
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/drill/SettingsReader.java
@@ -0,0 +1,102 @@
+package lemondrift.drill;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lemondrift.model.Effect;
+import lemondrift.model.Group;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+
+/** Turns the path=value lines of a first message into Settings; unknown keys are passed over. */
+final class SettingsReader {
+    private final Map<String, String> pairs = new HashMap<>();
+
+    private SettingsReader(String text) {
+        for (String line : text.split("\n")) {
+            int at = line.indexOf('=');
+            if (at > 0) {
+                pairs.put(line.substring(0, at).strip(), line.substring(at + 1).strip());
+            }
+        }
+    }
+
+    static Settings read(String text) {
+        return new SettingsReader(text).settings();
+    }
+
+    private Settings settings() {
+        List<ServiceGrade> grades = new ArrayList<>();
+        for (int i = 0; i < (int) number("serviceGrades.count"); i++) {
+            grades.add(grade("serviceGrades." + i + "."));
+        }
+        if (grades.isEmpty()) {
+            throw new BadInput("setting serviceGrades.count: no service grade");
+        }
+        double[] quota = new double[(int) number("realms.count", 0)];
+        for (int i = 0; i < quota.length; i++) {
+            quota[i] = number("realms." + i + ".quotaPerS");
+        }
+        return new Settings((int) number("siblings"), (int) number("zone"),
+                text("membershipMode", "pushed").equals("on_request"), List.copyOf(grades), quota,
+                number("excessBenefit", 1), text("benefitBy", "request").equals("work"), reports(),
+                new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
+                        flag("limits.mayDuplicate"), (int) number("limits.mostForwards"),
+                        flag("limits.retryAfter") ? number("limits.maxRetryAfter", 0) / 1000 : 0),
+                new Settings.Rules(number("invariants.coldFrom"), number("invariants.cold") / 1000,
+                        number("invariants.fallMultiple"), number("invariants.overloadFor") / 1000,
+                        number("invariants.askWithin", 10_000) / 1000),
+                new Settings.Charges(number("charges.crossZone", 0), number("charges.probe", 0)));
+    }
+
+    private Settings.Reports reports() {
+        String how = text("report.how", "off");
+        List<String> names = Arrays.asList(text("report.names", "").split(","));
+        return new Settings.Reports(how.equals("inline"), how.equals("on_probe"), names.indexOf("util"),
+                names.indexOf("queue"), names.indexOf("inflight"), names.indexOf("qps"));
+    }
+
+    private ServiceGrade grade(String at) {
+        return new ServiceGrade(number(at + "benefit"), number(at + "lateBenefit", 0),
+                number(at + "contractTime") / 1000, number(at + "expiry") / 1000,
+                switch (text(at + "effect", null)) {
+                    case "retryable" -> Effect.PURE;
+                    case "dedup" -> Effect.RECEIPTED;
+                    case "fragile" -> Effect.EFFECTFUL;
+                    default -> throw new BadInput("setting " + at + "effect: " + text(at + "effect", ""));
+                },
+                switch (text(at + "group", "cell")) {
+                    case "all" -> Group.ALL;
+                    case "zone" -> Group.LOCATION;
+                    default -> Group.CELL;
+                },
+                number(at + "keyTtl", 0) / 1000);
+    }
+
+    private String text(String key, String otherwise) {
+        String value = pairs.getOrDefault(key, otherwise);
+        if (value == null) {
+            throw new BadInput("setting " + key + ": missing");
+        }
+        return value;
+    }
+
+    private boolean flag(String key) {
+        return text(key, "false").equals("true");
+    }
+
+    private double number(String key, double otherwise) {
+        return pairs.containsKey(key) ? number(key) : otherwise;
+    }
+
+    private double number(String key) {
+        String value = text(key, null);
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new BadInput("setting " + key + ": not a number: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -0,0 +1,25 @@
+package lemondrift.model;
+
+/** One exchange a proxy has taken and owes an answer. The fields below are the decisions' own notes on it. */
+public final class Exchange {
+    public final long id;
+    public final int grade;
+    public final int tenant;
+    public final double arrived;
+    public final double expiry;
+    public boolean over;
+    public boolean begun;
+    public int forwards;
+    public int out;
+    public Forward mayHaveRun;
+    public Forward latest;
+    public double contract;
+
+    public Exchange(long id, int grade, int tenant, double arrived, double timeLeft) {
+        this.id = id;
+        this.grade = grade;
+        this.tenant = tenant;
+        this.arrived = arrived;
+        this.expiry = arrived + timeLeft;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/model/Forward.java
@@ -0,0 +1,22 @@
+package lemondrift.model;
+
+/** One forward of an exchange to a backend. */
+public final class Forward {
+    public final Exchange exchange;
+    public final int backend;
+    public final int number;
+    public final double sent;
+    public final double timeOut;
+    /** The forward made before this one for the same exchange. */
+    public final Forward earlier;
+    public boolean ended;
+
+    public Forward(Exchange exchange, int backend, double sent, double timeOut) {
+        this.exchange = exchange;
+        this.backend = backend;
+        this.number = exchange.forwards;
+        this.sent = sent;
+        this.timeOut = timeOut;
+        this.earlier = exchange.latest;
+    }
+}
