Window from the contract time, fading reports, service time capped by quick answers

Cause: shedding locked itself in when sends stopped while reports stayed high, and stale low reports drew herds.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -35,17 +35,17 @@
         double worth = benefit[x.grade] / mostBenefit;
         if (x.tenant < quota.length) {
             for (int i = 0; i < used.length; i++) {
-                used[i] *= Math.exp(-(now - usedAt) / Selection.WINDOW);
+                used[i] *= Math.exp(-(now - usedAt) / selection.window);
             }
             usedAt = now;
-            used[x.tenant] += x.forwards == 0 ? 1 / Selection.WINDOW : 0;
+            used[x.tenant] += x.forwards == 0 ? 1 / selection.window : 0;
             worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         double wait = eligibility.leastWait(now);
         double limit = (LEAST_SHARE + (1 - LEAST_SHARE) * worth) * (x.contract - now);
         boolean tooLate = wait + selection.serviceTime(now) > limit;
         if (tooLate) {
-            giveUp(x, Math.max(Selection.WINDOW / 10, wait), now, turn);
+            giveUp(x, Math.max(selection.window / 10, wait), now, turn);
         } else {
             super.offer(x, now, turn);
         }
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -68,7 +68,7 @@
         sound = Arrays.copyOf(sound, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
             if (i >= known) {
-                suspension[i] = Selection.WINDOW;
+                suspension[i] = selection.window;
             } else if (fleet.started[i] > startSeen[i]) {
                 restarted(i);
             }
@@ -78,7 +78,7 @@
 
     private void restarted(int i) {
         score[i] = 0;
-        suspension[i] = Selection.WINDOW;
+        suspension[i] = selection.window;
         suspendedUntil[i] = 0;
         trial[i] = false;
         unconnected[i] = 0;
@@ -200,7 +200,7 @@
                 turn.notes.add("backend " + i + " restored");
             }
         } else if (score[i] >= SUSPEND_AT && suspendedCount() + 1 <= MOST_SUSPENDED * fleet.readyCount()) {
-            suspension[i] = Selection.WINDOW;
+            suspension[i] = selection.window;
             suspend(i, now);
             turn.notes.add("backend " + i + " suspended, bad outcomes");
         }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -10,15 +10,21 @@
 
 /** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
 final class Selection extends Stage {
-    /** The window of the design page, seconds. */
-    static final double WINDOW = 1;
+    /** Rates and mean reports are taken over this many windows. */
+    private static final double MEMORY = 8;
     /** From this report on utilisations separate nothing, and work waiting is added to the estimate. */
     private static final double SATURATED = 0.9;
     /** Floor and cap of a service time, as a ratio to the fleet's. */
     private static final double SPREAD = 3;
+    /** The fleet's service time is at least a quick answer's time over this: a backend of many cores. */
+    private static final double FLOOR = 8;
+    /** How far one answer moves the quartile, as a share of it. */
+    private static final double QUICK_STEP = 0.05;
     /** The share of all benefit that probes may cost. */
     private static final double PROBE_COST = 0.0025;
 
+    /** The window of the design page: the shortest contract time. */
+    final double window;
     private final Fleet fleet;
     private final Chance chance;
     private final int balancers;
@@ -28,10 +34,13 @@
     private final boolean byProbe;
     private final Settings.Reports places;
     private final double[] benefit;
-    private final double shortest;
+    /** The lower quartile of answer times; a part of the contract time before the first. */
+    private double quickest;
     private double benefitMean;
     private double rate;
     private double rateAt;
+    /** How soon a report fades: one in an answer within a window, one by probe within a few probes. */
+    private double horizon;
 
     private double[] report = new double[0];
     private double[] waiting = new double[0];
@@ -54,7 +63,9 @@
         places = s.reports();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         benefitMean = Arrays.stream(benefit).average().orElse(1);
-        shortest = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(WINDOW);
+        quickest = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1) / 4;
+        window = 4 * quickest;
+        horizon = window;
     }
 
     void listed(double now) {
@@ -71,7 +82,7 @@
         for (int i = known; i < fleet.size; i++) {
             forget(i);
             ownRateAt[i] = now;
-            probeAt[i] = now + chance.next() * WINDOW / 2;
+            probeAt[i] = now + chance.next() * window / 2;
         }
     }
 
@@ -92,7 +103,10 @@
         report[i] = delivered ? u : Math.max(u, mean());
         waiting[i] = figure(figures, places.queue());
         served[i] = figure(figures, places.rate());
-        double fresh = 1 - Math.exp(-(now - reportAt[i]) / WINDOW);
+        if (u >= SATURATED && waiting[i] > 0) {
+            report[i] += waiting[i] * worth(i, serviceTime(now), now);
+        }
+        double fresh = 1 - Math.exp(-(now - reportAt[i]) / (MEMORY * window));
         meanReport[i] = Double.isNaN(meanReport[i]) ? u : meanReport[i] + fresh * (u - meanReport[i]);
         reportAt[i] = now;
         sends[i] = 0;
@@ -116,10 +130,14 @@
     }
 
     private double rate(int i, double now) {
-        return ownRate[i] * Math.exp(-(now - ownRateAt[i]) / WINDOW);
+        return ownRate[i] * Math.exp(-(now - ownRateAt[i]) / (MEMORY * window));
     }
 
-    /** The fleet's service time: utilisation over exchanges a second, held to what the contract can mean. */
+    /**
+     * The fleet's service time: utilisation over exchanges a second, at most the time of a quick answer.
+     * Danger: without that cap, sends that stop while reports stay high make every exchange look too long, all
+     * are shed, and no send ever comes to correct it.
+     */
     double serviceTime(double now) {
         double u = 0;
         double sent = 0;
@@ -129,8 +147,7 @@
                 sent += Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
             }
         }
-        double s = sent > 0 ? u / sent : shortest / 4;
-        return Math.max(shortest / 100, Math.min(shortest, s));
+        return sent > 0 ? Math.max(quickest / FLOOR, Math.min(quickest, u / sent)) : quickest;
     }
 
     /** The utilisation that one exchange adds at a backend, given the fleet's service time. */
@@ -138,24 +155,20 @@
         double sent = Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
         double s = Double.isNaN(meanReport[i]) || sent <= 0 ? fleetTime : meanReport[i] / sent;
         s = Math.max(fleetTime / SPREAD, Math.min(fleetTime * SPREAD, s));
-        return s * balancers / WINDOW;
+        return s * balancers / window;
     }
 
-    /** The estimate. A report older than the window fades towards the mean. */
+    /** The estimate. A report fades towards the mean with its age. */
     private double estimate(int i, double mean, double fleetTime, double now) {
         double coldShare = fleet.coldShare[i];
         double worth = worth(i, fleetTime, now) / coldShare;
-        double base = mean;
-        if (!Double.isNaN(report[i])) {
-            double trust = Math.min(1, WINDOW / Math.max(WINDOW, now - reportAt[i]));
-            double seen = report[i];
-            if (seen >= SATURATED) {
-                seen += Double.isNaN(waiting[i]) ? fleet.out[i] * worth / balancers : waiting[i] * worth;
-            }
-            base += trust * (seen - mean);
-        }
+        double trust = Double.isNaN(report[i]) ? 0 : Math.exp((reportAt[i] - now) / horizon);
+        double base = Double.isNaN(report[i]) ? mean : mean + trust * (report[i] - mean);
+        // What a report no longer tells of, being old or stuck at its top, own forwards out tell.
+        double told = report[i] >= SATURATED && !(waiting[i] >= 0) ? 0 : trust;
+        double own = sends[i] + (1 - told) * Math.max(0, fleet.out[i] - sends[i]);
         // Danger: a cold backend reports near nothing and draws more than it can bear.
-        return (coldShare < 1 ? Math.max(base, mean) : base) + sends[i] * worth;
+        return (coldShare < 1 ? Math.max(base, mean) : base) + own * worth;
     }
 
     /** How long the least loaded of the given backends lets an exchange wait before its work begins. */
@@ -168,7 +181,7 @@
                 least = Math.min(least, estimate(i, mean, fleetTime, now));
             }
         }
-        return Math.max(0, least - 1) * WINDOW / balancers;
+        return Math.max(0, least - 1) * window / balancers;
     }
 
     /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
@@ -196,7 +209,7 @@
     void offer(Exchange x, double now, Turn turn) {
         int i = pick(x, now);
         if (i < 0) {
-            giveUp(x, WINDOW, now, turn);
+            giveUp(x, window, now, turn);
             return;
         }
         x.latest = new Forward(x, i, now, x.contract - now);
@@ -205,19 +218,22 @@
         turn.sends.add(x.latest);
         sends[i]++;
         fleet.out[i]++;
-        ownRate[i] = rate(i, now) + 1 / WINDOW;
+        ownRate[i] = rate(i, now) + 1 / (MEMORY * window);
         ownRateAt[i] = now;
     }
 
     void arrived(Exchange x, double now) {
         benefitMean += (benefit[x.grade] - benefitMean) / 100;
-        rate = rate * Math.exp(-(now - rateAt) / WINDOW) + 1 / WINDOW;
+        rate = rate * Math.exp(-(now - rateAt) / (MEMORY * window)) + 1 / (MEMORY * window);
         rateAt = now;
     }
 
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         fleet.out[f.backend]--;
+        if (outcome == Outcome.DELIVERED) {
+            quickest *= took < quickest ? 1 - 0.75 * QUICK_STEP : 1 + 0.25 * QUICK_STEP;
+        }
         super.ended(f, outcome, took, now, turn);
     }
 
@@ -227,7 +243,8 @@
             return;
         }
         double spare = PROBE_COST * Math.max(1, rate);
-        double interval = Math.max(WINDOW / 2, probeCharge * fleet.readyCount() / spare);
+        double interval = Math.max(window / 2, probeCharge * fleet.readyCount() / spare);
+        horizon = 4 * interval;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i] && probeAt[i] <= now) {
                 turn.probes.add(i);
