Fade own sends with their report and shrink an exchange's worth to the fleet's

The report's queue now counts whenever anything waits, since the reported utilisation is a longer average.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -8,8 +8,10 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    /** The share of its contract time that an exchange of no benefit may wait; most benefit: all. */
-    private static final double LEAST_SHARE = 0.4;
+    /** The share of its contract time that an exchange of no benefit may wait. */
+    private static final double LEAST_SHARE = 0.6;
+    /** The like for an exchange of most benefit; the rest is room for its own work to turn out long. */
+    private static final double MOST_SHARE = 0.9;
 
     private final Eligibility eligibility;
     private final Selection selection;
@@ -19,6 +21,7 @@
     private final double mostBenefit;
     private final double[] used;
     private double usedAt;
+    private final double memory;
 
     Admission(Settings s, Eligibility eligibility, Selection selection) {
         this.eligibility = eligibility;
@@ -27,6 +30,7 @@
         mostBenefit = Arrays.stream(benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
         used = new double[quota.length];
+        memory = 8 * selection.window;
         excessBenefit = s.excessBenefit();
     }
 
@@ -35,14 +39,14 @@
         double worth = benefit[x.grade] / mostBenefit;
         if (x.tenant < quota.length) {
             for (int i = 0; i < used.length; i++) {
-                used[i] *= Math.exp(-(now - usedAt) / selection.window);
+                used[i] *= Math.exp(-(now - usedAt) / memory);
             }
             usedAt = now;
-            used[x.tenant] += x.forwards == 0 ? 1 / selection.window : 0;
+            used[x.tenant] += x.forwards == 0 ? 1 / memory : 0;
             worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         double wait = eligibility.leastWait(now);
-        double limit = (LEAST_SHARE + (1 - LEAST_SHARE) * worth) * (x.contract - now);
+        double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * worth) * (x.contract - now);
         boolean tooLate = wait + selection.serviceTime(now) > limit;
         if (tooLate) {
             giveUp(x, Math.max(selection.window / 10, wait), now, turn);
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -15,7 +15,7 @@
     /** From this report on utilisations separate nothing, and work waiting is added to the estimate. */
     private static final double SATURATED = 0.9;
     /** Floor and cap of a service time, as a ratio to the fleet's. */
-    private static final double SPREAD = 3;
+    private static final double SPREAD = 2;
     /** The fleet's service time is at least a quick answer's time over this: a backend of many cores. */
     private static final double FLOOR = 8;
     /** How far one answer moves the quartile, as a share of it. */
@@ -36,6 +36,7 @@
     private final double[] benefit;
     /** The lower quartile of answer times; a part of the contract time before the first. */
     private double quickest;
+    private int answers;
     private double benefitMean;
     private double rate;
     private double rateAt;
@@ -63,8 +64,8 @@
         places = s.reports();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         benefitMean = Arrays.stream(benefit).average().orElse(1);
-        quickest = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1) / 4;
-        window = 4 * quickest;
+        quickest = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1) / 16;
+        window = 16 * quickest;
         horizon = window;
     }
 
@@ -100,13 +101,13 @@
         }
         double u = figures[places.utilisation()];
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        report[i] = delivered ? u : Math.max(u, mean());
+        report[i] = delivered ? u : Math.max(u, mean(now));
         waiting[i] = figure(figures, places.queue());
         served[i] = figure(figures, places.rate());
-        if (u >= SATURATED && waiting[i] > 0) {
+        if (waiting[i] > 0) {
             report[i] += waiting[i] * worth(i, serviceTime(now), now);
         }
-        double fresh = 1 - Math.exp(-(now - reportAt[i]) / (MEMORY * window));
+        double fresh = 1 - faded(reportAt[i], now);
         meanReport[i] = Double.isNaN(meanReport[i]) ? u : meanReport[i] + fresh * (u - meanReport[i]);
         reportAt[i] = now;
         sends[i] = 0;
@@ -116,21 +117,33 @@
         return place >= 0 && place < figures.length ? figures[place] : Double.NaN;
     }
 
-    /** The mean of the reports at hand; a half before the first. */
-    private double mean() {
-        double sum = 0;
-        int count = 0;
+    /**
+     * The mean of the reports at hand, each as far as it is trusted, with a half in one report's place.
+     * Danger: were old high reports to stand, all would be shed and no answer would ever bring a new one.
+     */
+    private double mean(double now) {
+        double sum = 0.5;
+        double weight = 1;
         for (int i = 0; i < fleet.size; i++) {
-            if (fleet.ready[i] && !Double.isNaN(report[i])) {
-                sum += report[i];
-                count++;
+            if (fleet.ready[i]) {
+                sum += trust(i, now) * (Double.isNaN(report[i]) ? 0 : report[i]);
+                weight += trust(i, now);
             }
         }
-        return count == 0 ? 0.5 : sum / count;
+        return sum / weight;
+    }
+
+    /** How far a report still holds: it fades with its age. */
+    private double trust(int i, double now) {
+        return Double.isNaN(report[i]) ? 0 : Math.exp((reportAt[i] - now) / horizon);
+    }
+
+    private double faded(double since, double now) {
+        return Math.exp((since - now) / (MEMORY * window));
     }
 
     private double rate(int i, double now) {
-        return ownRate[i] * Math.exp(-(now - ownRateAt[i]) / (MEMORY * window));
+        return ownRate[i] * faded(ownRateAt[i], now);
     }
 
     /**
@@ -143,7 +156,7 @@
         double sent = 0;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i] && !Double.isNaN(meanReport[i])) {
-                u += meanReport[i];
+                u += meanReport[i] * faded(reportAt[i], now);
                 sent += Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
             }
         }
@@ -153,27 +166,29 @@
     /** The utilisation that one exchange adds at a backend, given the fleet's service time. */
     private double worth(int i, double fleetTime, double now) {
         double sent = Double.isNaN(served[i]) ? balancers * rate(i, now) : served[i];
-        double s = Double.isNaN(meanReport[i]) || sent <= 0 ? fleetTime : meanReport[i] / sent;
-        s = Math.max(fleetTime / SPREAD, Math.min(fleetTime * SPREAD, s));
-        return s * balancers / window;
+        double seen = Double.isNaN(meanReport[i]) ? 0 : meanReport[i] * faded(reportAt[i], now);
+        // One send's evidence of the fleet's own keeps a backend that is rarely picked from extremes.
+        double little = balancers / (MEMORY * window);
+        double s = (seen + little * fleetTime) / (sent + little);
+        return Math.max(fleetTime / SPREAD, Math.min(fleetTime * SPREAD, s)) * balancers / window;
     }
 
     /** The estimate. A report fades towards the mean with its age. */
     private double estimate(int i, double mean, double fleetTime, double now) {
         double coldShare = fleet.coldShare[i];
         double worth = worth(i, fleetTime, now) / coldShare;
-        double trust = Double.isNaN(report[i]) ? 0 : Math.exp((reportAt[i] - now) / horizon);
+        double trust = trust(i, now);
         double base = Double.isNaN(report[i]) ? mean : mean + trust * (report[i] - mean);
         // What a report no longer tells of, being old or stuck at its top, own forwards out tell.
         double told = report[i] >= SATURATED && !(waiting[i] >= 0) ? 0 : trust;
-        double own = sends[i] + (1 - told) * Math.max(0, fleet.out[i] - sends[i]);
+        double own = told * sends[i] + (1 - told) * fleet.out[i];
         // Danger: a cold backend reports near nothing and draws more than it can bear.
         return (coldShare < 1 ? Math.max(base, mean) : base) + own * worth;
     }
 
     /** How long the least loaded of the given backends lets an exchange wait before its work begins. */
     double leastWait(boolean[] among, double now) {
-        double mean = mean();
+        double mean = mean(now);
         double fleetTime = serviceTime(now);
         double least = Double.POSITIVE_INFINITY;
         for (int i = 0; i < fleet.size; i++) {
@@ -186,7 +201,7 @@
 
     /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
     private int pick(Exchange x, double now) {
-        double mean = mean();
+        double mean = mean(now);
         double fleetTime = serviceTime(now);
         double cross = crossing * benefitMean / Math.max(benefit[x.grade], benefitMean / 100);
         double least = Double.POSITIVE_INFINITY;
@@ -224,7 +239,7 @@
 
     void arrived(Exchange x, double now) {
         benefitMean += (benefit[x.grade] - benefitMean) / 100;
-        rate = rate * Math.exp(-(now - rateAt) / (MEMORY * window)) + 1 / (MEMORY * window);
+        rate = rate * faded(rateAt, now) + 1 / (MEMORY * window);
         rateAt = now;
     }
 
@@ -232,7 +247,9 @@
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         fleet.out[f.backend]--;
         if (outcome == Outcome.DELIVERED) {
-            quickest *= took < quickest ? 1 - 0.75 * QUICK_STEP : 1 + 0.25 * QUICK_STEP;
+            answers++;
+            double step = Math.max(QUICK_STEP, 1 / (1.0 + answers));
+            quickest *= took < quickest ? 1 - 0.75 * step : 1 + 0.25 * step;
         }
         super.ended(f, outcome, took, now, turn);
     }
