Shed by the waits met lately; a time-out or full counts as a report

Reports now fade to the mean utilisation, the wait is the larger of the least estimate and the mean met lately.

--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -37,6 +37,8 @@
     /** The lower quartile of answer times; a part of the contract time before the first. */
     private double quickest;
     private int answers;
+    private double metWait;
+    private double metWaitAt;
     private double benefitMean;
     private double rate;
     private double rateAt;
@@ -111,6 +113,17 @@
         meanReport[i] = Double.isNaN(meanReport[i]) ? u : meanReport[i] + fresh * (u - meanReport[i]);
         reportAt[i] = now;
         sends[i] = 0;
+        waited(Math.max(0, estimate(i, u, serviceTime(now), now) - 1) * window / balancers, now);
+    }
+
+    /** The mean wait met lately, over about one outcome a backend; it fades when none come. */
+    private void waited(double wait, double now) {
+        metWait = metWait(now) + (wait - metWait(now)) / Math.max(1, fleet.readyCount());
+        metWaitAt = now;
+    }
+
+    private double metWait(double now) {
+        return metWait * faded(metWaitAt, now);
     }
 
     private static double figure(double[] figures, int place) {
@@ -118,7 +131,7 @@
     }
 
     /**
-     * The mean of the reports at hand, each as far as it is trusted, with a half in one report's place.
+     * The mean utilisation reported, fading over the memory, with a half in one report's place.
      * Danger: were old high reports to stand, all would be shed and no answer would ever bring a new one.
      */
     private double mean(double now) {
@@ -126,8 +139,9 @@
         double weight = 1;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i]) {
-                sum += trust(i, now) * (Double.isNaN(report[i]) ? 0 : report[i]);
-                weight += trust(i, now);
+                double told = Double.isNaN(meanReport[i]) ? 0 : faded(reportAt[i], now);
+                sum += told * (told > 0 ? meanReport[i] : 0);
+                weight += told;
             }
         }
         return sum / weight;
@@ -196,7 +210,7 @@
                 least = Math.min(least, estimate(i, mean, fleetTime, now));
             }
         }
-        return Math.max(0, least - 1) * window / balancers;
+        return Math.max(metWait(now), Math.max(0, least - 1) * window / balancers);
     }
 
     /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
@@ -243,6 +257,18 @@
         rateAt = now;
     }
 
+    /** Danger: a backend that answers nothing reports nothing either, and looks as idle as it last was. */
+    private void unanswered(int i, double wait, double now) {
+        double least = 1 + wait * balancers / window;
+        waited(wait, now);
+        if (Double.isNaN(report[i]) || mean(now) + trust(i, now) * (report[i] - mean(now)) < least) {
+            report[i] = least;
+            reportAt[i] = now;
+            waiting[i] = 0;
+            sends[i] = 0;
+        }
+    }
+
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         fleet.out[f.backend]--;
@@ -251,6 +277,11 @@
             double step = Math.max(QUICK_STEP, 1 / (1.0 + answers));
             quickest *= took < quickest ? 1 - 0.75 * step : 1 + 0.25 * step;
         }
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CONNECT_FAILED) {
+            unanswered(f.backend, took, now);
+        } else if (outcome == Outcome.FULL) {
+            unanswered(f.backend, window, now);
+        }
         super.ended(f, outcome, took, now, turn);
     }
 
