A time-out keeps the estimate where it stands, at one at least

Cause: a time-out counted as a full backlog kept a backend out for a second after its work had been dropped.

--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -259,14 +259,12 @@
 
     /** Danger: a backend that answers nothing reports nothing either, and looks as idle as it last was. */
     private void unanswered(int i, double wait, double now) {
-        double least = 1 + wait * balancers / window;
+        double least = Math.max(1, estimate(i, mean(now), serviceTime(now), now));
         waited(wait, now);
-        if (Double.isNaN(report[i]) || mean(now) + trust(i, now) * (report[i] - mean(now)) < least) {
-            report[i] = least;
-            reportAt[i] = now;
-            waiting[i] = 0;
-            sends[i] = 0;
-        }
+        report[i] = least;
+        reportAt[i] = now;
+        waiting[i] = 0;
+        sends[i] = 0;
     }
 
     @Override
