Write the module shorter and keep a cold share of one where none is known yet

Danger found by reading: a report that came before the first exchange divided by a cold share of nothing, and the wait met lately turned to not-a-number for good.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -45,7 +45,8 @@
             used[x.tenant] += x.forwards == 0 ? 1 / memory : 0;
             worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
-        double wait = eligibility.leastWait(now);
+        eligibility.refresh(now);
+        double wait = selection.expectedWait(now);
         double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * worth) * (x.contract - now);
         boolean tooLate = wait + selection.serviceTime(now) > limit;
         if (tooLate) {
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -63,7 +63,7 @@
         turn.clear();
         fleet.listed(whole, lines);
         selection.listed(now);
-        eligibility.listed(now);
+        eligibility.listed();
         lists.listed(stale, now);
         lists.wake(now, turn);
         return done(now);
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -19,43 +19,52 @@
     private static final double LATE = 4;
     /** At most this share of the ready backends is suspended; beyond it the fault is more likely shared. */
     private static final double MOST_SUSPENDED = 0.5;
-    /** A probe's work, as a share of an exchange's, where a cold backend's allowance counts it. */
+    /** A probe's work as a share of an exchange's, where a cold backend's allowance counts it. */
     private static final double PROBE_WORK = 0.1;
 
     private final Fleet fleet;
     private final Selection selection;
     private final Chance chance;
-    private final Settings.Rules rules;
-    private final int balancers;
     private final boolean mayProbe;
-    private final ServiceGrade[] grades;
-    private final double[] gradeTime;
-    private final double longestSuspension;
-    private double fleetBad = SOUND;
-
-    private double[] score = new double[0];
-    private double[] suspension = new double[0];
-    private double[] suspendedUntil = new double[0];
-    private boolean[] trial = new boolean[0];
-    private int[] unconnected = new int[0];
-    private double[] startSeen = new double[0];
-    private double[] spent = new double[0];
-    private double[] spentAt = new double[0];
-    private boolean[] sound = new boolean[0];
+    private final boolean[] effectful;
+    /** Mean answer times by service grade; they hold some waiting, so as work they are never too little. */
+    private final double[] answerTime;
+    private final double coldFrom;
+    private final double coldTime;
+    /** Seconds of one warm core's work that this proxy may send in any fall window, and that window. */
+    private final double coldBudget;
+    private final double fallWindow;
+    private double usualBad = SOUND;
+
+    private double[] score = {};
+    private double[] suspension = {};
+    /** 0 is not suspended; a trial is open once a probe was answered, or at that time without probes. */
+    private double[] suspendedUntil = {};
+    private boolean[] trial = {};
+    private int[] unconnected = {};
+    private double[] startSeen = {};
+    /** When all that a cold backend was sent has drained at the rate it may be sent. */
+    private double[] drainedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Selection selection, Chance chance) {
         this.fleet = fleet;
         this.selection = selection;
         this.chance = chance;
-        rules = s.rules();
-        balancers = s.balancers();
         mayProbe = s.limits().probes();
-        grades = s.grades().toArray(new ServiceGrade[0]);
-        gradeTime = s.grades().stream().mapToDouble(g -> g.contractTime() / 2).toArray();
-        longestSuspension = rules.cold();
+        effectful = new boolean[s.grades().size()];
+        answerTime = new double[effectful.length];
+        for (int g = 0; g < effectful.length; g++) {
+            ServiceGrade grade = s.grades().get(g);
+            effectful[g] = grade.effect() == Effect.EFFECTFUL;
+            answerTime[g] = grade.contractTime() / 2;
+        }
+        coldFrom = s.rules().coldFrom();
+        coldTime = s.rules().cold();
+        fallWindow = s.rules().fallWindow();
+        coldBudget = s.rules().fallMultiple() * fallWindow / s.balancers();
     }
 
-    void listed(double now) {
+    void listed() {
         int known = score.length;
         score = Arrays.copyOf(score, fleet.size);
         suspension = Arrays.copyOf(suspension, fleet.size);
@@ -63,108 +72,82 @@
         trial = Arrays.copyOf(trial, fleet.size);
         unconnected = Arrays.copyOf(unconnected, fleet.size);
         startSeen = Arrays.copyOf(startSeen, fleet.size);
-        spent = Arrays.copyOf(spent, fleet.size);
-        spentAt = Arrays.copyOf(spentAt, fleet.size);
-        sound = Arrays.copyOf(sound, fleet.size);
+        drainedAt = Arrays.copyOf(drainedAt, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
-            if (i >= known) {
-                suspension[i] = selection.window;
-            } else if (fleet.started[i] > startSeen[i]) {
-                restarted(i);
+            if (i >= known || fleet.started[i] > startSeen[i]) {
+                startAfresh(i);
             }
-            startSeen[i] = fleet.started[i];
         }
     }
 
-    private void restarted(int i) {
+    private void startAfresh(int i) {
+        startSeen[i] = fleet.started[i];
         score[i] = 0;
         suspension[i] = selection.window;
         suspendedUntil[i] = 0;
         trial[i] = false;
         unconnected[i] = 0;
-        spent[i] = 0;
-        startSeen[i] = fleet.started[i];
         selection.forget(i);
     }
 
-    /** The share of its capacity that a backend has at the least; the climb is taken to be even and slow. */
-    private double coldShare(int i, double now) {
-        double age = (now - fleet.started[i]) / rules.cold();
-        return fleet.started[i] <= 0 || age >= 1 ? 1
-                : rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age);
-    }
-
-    /** The work this proxy may send a cold backend at once: half the budget, the other half drains in. */
-    private double allowance(int i) {
-        return rules.fallMultiple() * fleet.coldShare[i] * rules.fallWindow() / balancers / 2;
-    }
-
-    /** Work of one exchange on one warm core, taken from answer times, which is never too little. */
-    private double work() {
-        double sum = 0;
-        for (double time : gradeTime) {
-            sum += time;
+    /** Works out anew, for the stages that follow, who is how cold and who is sound. */
+    void refresh(double now) {
+        for (int i = 0; i < fleet.size; i++) {
+            double age = fleet.started[i] <= 0 ? 1 : Math.max(0, now - fleet.started[i]) / coldTime;
+            fleet.coldShare[i] = age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
+            fleet.sound[i] = fleet.ready[i] && suspendedUntil[i] == 0 && hasRoom(i, now);
         }
-        return sum / gradeTime.length;
     }
 
-    private double spent(int i, double now) {
-        return Math.max(0, spent[i] - (now - spentAt[i]) / rules.fallWindow() * allowance(i));
+    /**
+     * Rule 4: half a window's budget may go out at once and the other half drains in over the window.
+     * Danger: a burst just after a start would spend the whole budget before the window has passed.
+     */
+    private boolean hasRoom(int i, double now) {
+        return fleet.coldShare[i] == 1 || drainedAt[i] <= now || drainedAt[i] + drain(i, 1) <= now + fallWindow;
     }
 
-    private void spend(int i, double work, double now) {
-        if (coldShare(i, now) < 1) {
-            spent[i] = spent(i, now) + work;
-            spentAt[i] = now;
-        }
+    /** How long some exchanges' work takes to drain at half of a cold backend's budget a window. */
+    private double drain(int i, double exchanges) {
+        double work = Arrays.stream(answerTime).average().orElse(0) * exchanges;
+        return work * fallWindow / (coldBudget * fleet.coldShare[i] / 2);
     }
 
-    private void refresh(double now) {
-        for (int i = 0; i < fleet.size; i++) {
-            fleet.coldShare[i] = coldShare(i, now);
-            sound[i] = fleet.ready[i] && suspendedUntil[i] == 0 && mayTakeCold(i, now);
+    private void spend(int i, double exchanges, double now) {
+        if (fleet.coldShare[i] < 1) {
+            drainedAt[i] = Math.max(drainedAt[i], now) + drain(i, exchanges);
         }
     }
 
-    /** Danger: a burst just after a start spends the whole budget before the window has passed. */
-    private boolean mayTakeCold(int i, double now) {
-        double spent = fleet.coldShare[i] < 1 ? spent(i, now) : 0;
-        return spent <= 0 || spent + work() <= allowance(i);
-    }
-
-    double leastWait(double now) {
-        refresh(now);
-        return selection.leastWait(sound, now);
-    }
-
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        refresh(now);
         for (int i = 0; i < fleet.size; i++) {
-            fleet.first[i] = fleet.candidate[i] && trial[i] && fleet.out[i] == 0 && mayTakeCold(i, now)
-                    && (grades[x.grade].effect() != Effect.EFFECTFUL
-                    || now > suspendedUntil[i] + suspension[i]);
-            fleet.candidate[i] &= sound[i] || fleet.first[i];
+            fleet.first[i] = fleet.candidate[i] && trial[i] && fleet.out[i] == 0 && hasRoom(i, now)
+                    && (!effectful[x.grade] || now > suspendedUntil[i] + suspension[i]);
+            fleet.candidate[i] &= fleet.sound[i] || fleet.first[i];
         }
         super.offer(x, now, turn);
         if (x.out > 0) {
-            spend(x.latest.backend, work(), now);
+            spend(x.latest.backend, 1, now);
         }
     }
 
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         int i = f.backend;
-        double usual = gradeTime[f.exchange.grade];
-        if (outcome == Outcome.DELIVERED) {
-            gradeTime[f.exchange.grade] += (took - usual) / 50;
-            connected(i, now, turn);
-        }
-        unconnected[i] = outcome == Outcome.CONNECT_FAILED ? unconnected[i] + 1 : unconnected[i];
-        boolean late = outcome == Outcome.DELIVERED && took > LATE * usual && coldShare(i, now) == 1;
+        double usual = answerTime[f.exchange.grade];
+        boolean late = took > LATE * usual && fleet.coldShare[i] == 1;
         switch (outcome) {
-            case DELIVERED -> judge(i, late, now, turn);
-            case ERROR, RESET, CONNECT_FAILED, TIMED_OUT -> judge(i, true, now, turn);
+            case DELIVERED -> {
+                answerTime[f.exchange.grade] += (took - usual) / 50;
+                connected(i, now, turn);
+                judge(i, late, now, turn);
+            }
+            case CONNECT_FAILED -> {
+                unconnected[i]++;
+                judge(i, true, now, turn);
+            }
+            case ERROR, RESET, TIMED_OUT -> judge(i, true, now, turn);
             default -> { }
         }
         super.ended(f, outcome, took, now, turn);
@@ -172,34 +155,28 @@
 
     /** Danger: the list is seconds late, so a backend that connects again after failing is taken for cold. */
     private void connected(int i, double now, Turn turn) {
-        if (unconnected[i] >= 2 && fleet.started[i] < now - rules.cold()) {
+        if (unconnected[i] >= 2 && fleet.started[i] < now - coldTime) {
             fleet.started[i] = now;
-            restarted(i);
+            startAfresh(i);
             turn.notes.add("backend " + i + " connects again, taken for cold");
         }
         unconnected[i] = 0;
     }
 
-    /** One step of the sequential test: as bad as the fleet against halfway from there to always bad. */
+    /** One step of the sequential test: as bad as the fleet, or halfway from there to always bad. */
     private void judge(int i, boolean bad, double now, Turn turn) {
-        fleetBad += ((bad ? 1 : 0) - fleetBad) / 100;
-        double usual = Math.max(SOUND, fleetBad);
-        double sick = (1 + usual) / 2;
-        double step = bad ? Math.log(sick / usual) : Math.log((1 - sick) / (1 - usual));
+        usualBad += ((bad ? 1 : 0) - usualBad) / 100;
+        double usual = Math.max(SOUND, usualBad);
+        double step = bad ? Math.log((1 + usual) / 2 / usual) : Math.log(0.5);
         score[i] = Math.max(0, Math.min(SUSPEND_AT, score[i] + step));
-        if (suspendedUntil[i] > 0) {
-            if (!trial[i]) {
-                return;
-            }
-            if (bad) {
-                suspend(i, now);
-            } else {
-                suspendedUntil[i] = 0;
-                trial[i] = false;
-                score[i] = SUSPEND_AT / 2;
-                turn.notes.add("backend " + i + " restored");
-            }
-        } else if (score[i] >= SUSPEND_AT && suspendedCount() + 1 <= MOST_SUSPENDED * fleet.readyCount()) {
+        if (trial[i] && bad) {
+            suspend(i, now);
+        } else if (trial[i]) {
+            suspendedUntil[i] = 0;
+            trial[i] = false;
+            score[i] = SUSPEND_AT / 2;
+            turn.notes.add("backend " + i + " restored");
+        } else if (suspendedUntil[i] == 0 && score[i] >= SUSPEND_AT && maySuspend()) {
             suspension[i] = selection.window;
             suspend(i, now);
             turn.notes.add("backend " + i + " suspended, bad outcomes");
@@ -209,21 +186,22 @@
     private void suspend(int i, double now) {
         trial[i] = false;
         suspendedUntil[i] = now + chance.jitter(suspension[i]);
-        suspension[i] = Math.min(longestSuspension, 2 * suspension[i]);
+        suspension[i] = Math.min(coldTime, 2 * suspension[i]);
     }
 
-    private int suspendedCount() {
-        int count = 0;
+    /** Danger: suspending most of the fleet for a fault that all share pushes the rest over. */
+    private boolean maySuspend() {
+        int count = 1;
         for (int i = 0; i < fleet.size; i++) {
             count += fleet.ready[i] && suspendedUntil[i] > 0 ? 1 : 0;
         }
-        return count;
+        return count <= MOST_SUSPENDED * fleet.readyCount();
     }
 
     /** A suspended backend is probed first where that is allowed, then tried with one exchange. */
     void wake(double now, Turn turn) {
         for (int i = 0; i < fleet.size; i++) {
-            if (fleet.ready[i] && suspendedUntil[i] > 0 && !trial[i] && suspendedUntil[i] <= now) {
+            if (isDue(i) && suspendedUntil[i] <= now) {
                 if (mayProbe) {
                     turn.probes.add(i);
                     suspendedUntil[i] = now + chance.jitter(suspension[i]);
@@ -233,16 +211,18 @@
             }
         }
         for (int i : turn.probes) {
-            spend(i, PROBE_WORK * work(), now);
+            spend(i, PROBE_WORK, now);
         }
     }
 
+    private boolean isDue(int i) {
+        return fleet.ready[i] && suspendedUntil[i] > 0 && !trial[i];
+    }
+
     double wakeAt() {
         double at = Double.POSITIVE_INFINITY;
         for (int i = 0; i < fleet.size; i++) {
-            if (fleet.ready[i] && suspendedUntil[i] > 0 && !trial[i]) {
-                at = Math.min(at, suspendedUntil[i]);
-            }
+            at = isDue(i) ? Math.min(at, suspendedUntil[i]) : at;
         }
         return at;
     }
@@ -250,7 +230,7 @@
     void probed(int i, boolean answered, double now, Turn turn) {
         if (answered) {
             connected(i, now, turn);
-            if (suspendedUntil[i] > 0) {
+            if (isDue(i)) {
                 trial[i] = true;
                 suspendedUntil[i] = now;
             }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -7,19 +7,19 @@
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
     int size;
-    boolean[] ready = new boolean[0];
-    int[] location = new int[0];
-    int[] cell = new int[0];
+    boolean[] ready = {};
+    int[] location = {};
+    int[] cell = {};
     /** When it last started, as told or as seen; 0 is long ago. */
-    double[] started = new double[0];
-    int[] out = new int[0];
-    /** Backends that may take the exchange in hand; each stage strikes out some. */
-    boolean[] candidate = new boolean[0];
-    boolean[] tried = new boolean[0];
-    /** The share of its full capacity that each has at least, 1 where warm. */
-    double[] coldShare = new double[0];
-    /** Those that wait for a trial exchange and come first. */
-    boolean[] first = new boolean[0];
+    double[] started = {};
+    int[] out = {};
+    /** The share of its full capacity that each has at the least; 1 is warm. */
+    double[] coldShare = {};
+    /** In good health, and with room in what it may be sent while cold. */
+    boolean[] sound = {};
+    /** Backends that may take the exchange in hand, each stage striking out some, and which come first. */
+    boolean[] candidate = {};
+    boolean[] first = {};
 
     /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
     void listed(boolean whole, List<Listed> lines) {
@@ -28,7 +28,9 @@
         }
         for (Listed line : lines) {
             int i = line.backend();
-            grow(i + 1);
+            if (i >= size) {
+                grow(i + 1);
+            }
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
@@ -37,24 +39,23 @@
     }
 
     private void grow(int wanted) {
-        if (wanted > size) {
-            size = wanted;
-            ready = Arrays.copyOf(ready, size);
-            location = Arrays.copyOf(location, size);
-            cell = Arrays.copyOf(cell, size);
-            started = Arrays.copyOf(started, size);
-            out = Arrays.copyOf(out, size);
-            candidate = Arrays.copyOf(candidate, size);
-            tried = Arrays.copyOf(tried, size);
-            coldShare = Arrays.copyOf(coldShare, size);
-            first = Arrays.copyOf(first, size);
-        }
+        ready = Arrays.copyOf(ready, wanted);
+        location = Arrays.copyOf(location, wanted);
+        cell = Arrays.copyOf(cell, wanted);
+        started = Arrays.copyOf(started, wanted);
+        out = Arrays.copyOf(out, wanted);
+        coldShare = Arrays.copyOf(coldShare, wanted);
+        Arrays.fill(coldShare, size, wanted, 1);
+        sound = Arrays.copyOf(sound, wanted);
+        candidate = Arrays.copyOf(candidate, wanted);
+        first = Arrays.copyOf(first, wanted);
+        size = wanted;
     }
 
     int readyCount() {
         int count = 0;
-        for (int i = 0; i < size; i++) {
-            count += ready[i] ? 1 : 0;
+        for (boolean each : ready) {
+            count += each ? 1 : 0;
         }
         return count;
     }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -16,15 +16,13 @@
 
     private final ServiceGrade[] grades;
     private final int mostForwards;
-    private final double retryCredit;
     private final Fleet fleet;
     private double credit;
 
     Repeats(Settings s, Fleet fleet) {
         grades = s.grades().toArray(new ServiceGrade[0]);
         mostForwards = s.limits().forwards();
-        retryCredit = 2 * mostForwards;
-        credit = retryCredit;
+        credit = mostForwards;
         this.fleet = fleet;
     }
 
@@ -42,21 +40,13 @@
             giveUp(x, 0, now, turn);
             return;
         }
-        credit = repeat ? credit - 1 : Math.min(retryCredit, credit + RETRY_SHARE);
-        boolean bound = grade.effect() == Effect.RECEIPTED && x.mayHaveRun != null;
+        credit = repeat ? credit - 1 : Math.min(mostForwards, credit + RETRY_SHARE);
         for (int i = 0; i < fleet.size; i++) {
-            fleet.candidate[i] = fleet.ready[i] && (!bound || sameGroup(grade, x.mayHaveRun.backend, i));
+            fleet.candidate[i] = fleet.ready[i] && (x.mayHaveRun == null || grade.effect() == Effect.PURE
+                    || sameGroup(grade.group(), x.mayHaveRun.backend, i));
         }
-        boolean elsewhere = false;
         for (Forward f = x.latest; f != null; f = f.earlier) {
-            fleet.tried[f.backend] = true;
-        }
-        for (int i = 0; i < fleet.size; i++) {
-            elsewhere |= fleet.candidate[i] && !fleet.tried[i];
-        }
-        for (int i = 0; i < fleet.size; i++) {
-            fleet.candidate[i] &= !(elsewhere && fleet.tried[i]);
-            fleet.tried[i] = false;
+            fleet.candidate[f.backend] = false;
         }
         super.offer(x, now, turn);
     }
@@ -67,17 +57,14 @@
                 || grade.effect() == Effect.RECEIPTED && now - x.mayHaveRun.sent < grade.receiptMemory();
     }
 
-    private boolean sameGroup(ServiceGrade grade, int a, int b) {
-        return switch (grade.group()) {
-            case ALL -> true;
-            case LOCATION -> fleet.location[a] == fleet.location[b];
-            case CELL -> fleet.location[a] == fleet.location[b] && fleet.cell[a] == fleet.cell[b];
-        };
+    private boolean sameGroup(Group group, int a, int b) {
+        return group == Group.ALL || fleet.location[a] == fleet.location[b]
+                && (group == Group.LOCATION || fleet.cell[a] == fleet.cell[b]);
     }
 
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
-        if (!outcome.neverRan && (f.exchange.mayHaveRun == null || f.sent < f.exchange.mayHaveRun.sent)) {
+        if (!outcome.neverRan && f.exchange.mayHaveRun == null) {
             f.exchange.mayHaveRun = f;
         }
         super.ended(f, outcome, took, now, turn);
--- a/src/main/java/lemondrift/drill/SettingsReader.java
+++ b/src/main/java/lemondrift/drill/SettingsReader.java
@@ -55,7 +55,7 @@
         String how = text("report.how", "off");
         List<String> names = Arrays.asList(text("report.names", "").split(","));
         return new Settings.Reports(how.equals("inline"), how.equals("on_probe"), names.indexOf("util"),
-                names.indexOf("queue"), names.indexOf("inflight"), names.indexOf("qps"));
+                names.indexOf("queue"), names.indexOf("qps"));
     }
 
     private ServiceGrade grade(String at) {
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -8,8 +8,7 @@
         Rules rules, Charges charges) {
 
     /** Load reports: where they come from, and at which place each figure stands (-1: not given). */
-    public record Reports(boolean inAnswers, boolean byProbe, int utilisation, int queue, int inflight,
-            int rate) {}
+    public record Reports(boolean inAnswers, boolean byProbe, int utilisation, int queue, int rate) {}
 
     public record Limits(boolean cancel, boolean probes, boolean secondCopies, int forwards,
             double retryAfter) {}
