--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -126,14 +126,14 @@
         return since == 0 ? 0 : Math.exp((since - now) / (MEMORY * window));
     }
 
-    /** The mean utilisation reported, fading over the memory, with a half in one report's place. */
+    /** The mean of the reports as far as they are trusted, with a half in one report's place. */
     private double mean(double now) {
         double sum = 0.5;
         double weight = 1;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i]) {
-                sum += meanReport[i] * faded(reportedAt[i], now);
-                weight += faded(reportedAt[i], now);
+                sum += report[i] * trust(i, now);
+                weight += trust(i, now);
             }
         }
         return sum / weight;
@@ -165,9 +165,13 @@
                 / fleet.coldShare[i];
     }
 
+    private double trust(int i, double now) {
+        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
+    }
+
     /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
     private double estimate(int i, double mean, double fleetTime, double now) {
-        double trust = reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
+        double trust = trust(i, now);
         double base = mean + trust * (report[i] - mean);
         double told = report[i] >= SATURATED && queueAt < 0 ? 0 : trust;
         double own = told * sends[i] + (1 - told) * fleet.out[i];
