--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -1,10 +1,7 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
-import lemondrift.model.Exchange;
-import lemondrift.model.ServiceGrade;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
@@ -21,7 +18,6 @@
     private final double mostBenefit;
     private final double[] used;
     private double usedAt;
-    private final double memory;
 
     Admission(Settings s, Eligibility eligibility, Selection selection) {
         this.eligibility = eligibility;
@@ -30,7 +26,6 @@
         mostBenefit = Arrays.stream(benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
         used = new double[quota.length];
-        memory = 8 * selection.window;
         excessBenefit = s.excessBenefit();
     }
 
@@ -39,18 +34,17 @@
         double worth = benefit[x.grade] / mostBenefit;
         if (x.tenant < quota.length) {
             for (int i = 0; i < used.length; i++) {
-                used[i] *= Math.exp(-(now - usedAt) / memory);
+                used[i] *= selection.faded(usedAt, now);
             }
             usedAt = now;
-            used[x.tenant] += x.forwards == 0 ? 1 / memory : 0;
+            used[x.tenant] += x.forwards == 0 ? 1 / (Selection.MEMORY * selection.window) : 0;
             worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         eligibility.refresh(now);
-        double wait = selection.expectedWait(now);
+        double expected = selection.answerTime(now);
         double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * worth) * (x.contract - now);
-        boolean tooLate = wait + selection.serviceTime(now) > limit;
-        if (tooLate) {
-            giveUp(x, Math.max(selection.window / 10, wait), now, turn);
+        if (expected > limit) {
+            giveUp(x, expected, now, turn);
         } else {
             super.offer(x, now, turn);
         }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -1,12 +1,7 @@
 package lemondrift.decide;
 
 import java.util.List;
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Listed;
-import lemondrift.model.Outcome;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /**
  * The decisions of one proxy. Make one from its Settings and seed, call a method for each thing that happens,
@@ -34,7 +29,6 @@
 
     public Turn exchangeArrived(double now, Exchange x) {
         turn.clear();
-        selection.arrived(x, now);
         expiry.take(x, now, turn);
         return done(now);
     }
--- a/src/main/java/lemondrift/decide/Chance.java
+++ b/src/main/java/lemondrift/decide/Chance.java
@@ -1,12 +1,12 @@
 package lemondrift.decide;
 
+import java.nio.ByteBuffer;
 import java.util.zip.CRC32;
 
 /** All chance: a checksum over the instance's seed and a counter; the same events give the same acts. */
 final class Chance {
     private final long seed;
     private long counter;
-    private final CRC32 crc = new CRC32();
 
     Chance(long seed) {
         this.seed = seed;
@@ -14,12 +14,8 @@
 
     /** Evenly between 0 and 1. */
     double next() {
-        crc.reset();
-        counter++;
-        for (int shift = 0; shift < 64; shift += 8) {
-            crc.update((int) (seed >>> shift));
-            crc.update((int) (counter >>> shift));
-        }
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(seed).putLong(++counter).flip());
         return crc.getValue() / 0x1p32;
     }
 
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -1,13 +1,7 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
-import lemondrift.model.Effect;
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Outcome;
-import lemondrift.model.ServiceGrade;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** Rules 3 and 4 and health: which backends may take an exchange now. */
 final class Eligibility extends Stage {
@@ -26,7 +20,8 @@
     private final Selection selection;
     private final Chance chance;
     private final boolean mayProbe;
-    private final boolean[] effectful;
+    /** Grades whose exchanges may be risked on a trial: those that may repeat, or all where none may. */
+    private final boolean[] mayTry;
     /** Mean answer times by service grade; they hold some waiting, so as work they are never too little. */
     private final double[] answerTime;
     private final double coldFrom;
@@ -36,13 +31,12 @@
     private final double fallWindow;
     private double usualBad = SOUND;
 
-    private double[] score = {};
-    private double[] suspension = {};
-    /** 0 is not suspended; a trial is open once a probe was answered, or at that time without probes. */
+    private static final double TRIAL = -1;
+
+    private double[] score = {}, suspension = {}, startSeen = {};
+    /** 0 is not suspended; TRIAL is waiting for one trial exchange. */
     private double[] suspendedUntil = {};
-    private boolean[] trial = {};
     private int[] unconnected = {};
-    private double[] startSeen = {};
     /** When all that a cold backend was sent has drained at the rate it may be sent. */
     private double[] drainedAt = {};
 
@@ -51,11 +45,12 @@
         this.selection = selection;
         this.chance = chance;
         mayProbe = s.limits().probes();
-        effectful = new boolean[s.grades().size()];
-        answerTime = new double[effectful.length];
-        for (int g = 0; g < effectful.length; g++) {
+        boolean noneRepeats = s.grades().stream().allMatch(g -> g.effect() == Effect.EFFECTFUL);
+        mayTry = new boolean[s.grades().size()];
+        answerTime = new double[mayTry.length];
+        for (int g = 0; g < mayTry.length; g++) {
             ServiceGrade grade = s.grades().get(g);
-            effectful[g] = grade.effect() == Effect.EFFECTFUL;
+            mayTry[g] = noneRepeats || grade.effect() != Effect.EFFECTFUL;
             answerTime[g] = grade.contractTime() / 2;
         }
         coldFrom = s.rules().coldFrom();
@@ -69,7 +64,6 @@
         score = Arrays.copyOf(score, fleet.size);
         suspension = Arrays.copyOf(suspension, fleet.size);
         suspendedUntil = Arrays.copyOf(suspendedUntil, fleet.size);
-        trial = Arrays.copyOf(trial, fleet.size);
         unconnected = Arrays.copyOf(unconnected, fleet.size);
         startSeen = Arrays.copyOf(startSeen, fleet.size);
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
@@ -85,7 +79,6 @@
         score[i] = 0;
         suspension[i] = selection.window;
         suspendedUntil[i] = 0;
-        trial[i] = false;
         unconnected[i] = 0;
         selection.forget(i);
     }
@@ -104,7 +97,8 @@
      * Danger: a burst just after a start would spend the whole budget before the window has passed.
      */
     private boolean hasRoom(int i, double now) {
-        return fleet.coldShare[i] == 1 || drainedAt[i] <= now || drainedAt[i] + drain(i, 1) <= now + fallWindow;
+        return fleet.coldShare[i] == 1 || drainedAt[i] <= now
+                || drainedAt[i] + drain(i, 1) <= now + fallWindow;
     }
 
     /** How long some exchanges' work takes to drain at half of a cold backend's budget a window. */
@@ -122,8 +116,8 @@
     @Override
     void offer(Exchange x, double now, Turn turn) {
         for (int i = 0; i < fleet.size; i++) {
-            fleet.first[i] = fleet.candidate[i] && trial[i] && fleet.out[i] == 0 && hasRoom(i, now)
-                    && (!effectful[x.grade] || now > suspendedUntil[i] + suspension[i]);
+            fleet.first[i] = fleet.candidate[i] && suspendedUntil[i] == TRIAL && fleet.out[i] == 0
+                    && hasRoom(i, now) && mayTry[x.grade];
             fleet.candidate[i] &= fleet.sound[i] || fleet.first[i];
         }
         super.offer(x, now, turn);
@@ -169,11 +163,10 @@
         double usual = Math.max(SOUND, usualBad);
         double step = bad ? Math.log((1 + usual) / 2 / usual) : Math.log(0.5);
         score[i] = Math.max(0, Math.min(SUSPEND_AT, score[i] + step));
-        if (trial[i] && bad) {
+        if (suspendedUntil[i] == TRIAL && bad) {
             suspend(i, now);
-        } else if (trial[i]) {
+        } else if (suspendedUntil[i] == TRIAL) {
             suspendedUntil[i] = 0;
-            trial[i] = false;
             score[i] = SUSPEND_AT / 2;
             turn.notes.add("backend " + i + " restored");
         } else if (suspendedUntil[i] == 0 && score[i] >= SUSPEND_AT && maySuspend()) {
@@ -184,7 +177,6 @@
     }
 
     private void suspend(int i, double now) {
-        trial[i] = false;
         suspendedUntil[i] = now + chance.jitter(suspension[i]);
         suspension[i] = Math.min(coldTime, 2 * suspension[i]);
     }
@@ -193,7 +185,7 @@
     private boolean maySuspend() {
         int count = 1;
         for (int i = 0; i < fleet.size; i++) {
-            count += fleet.ready[i] && suspendedUntil[i] > 0 ? 1 : 0;
+            count += fleet.ready[i] && suspendedUntil[i] != 0 ? 1 : 0;
         }
         return count <= MOST_SUSPENDED * fleet.readyCount();
     }
@@ -202,11 +194,9 @@
     void wake(double now, Turn turn) {
         for (int i = 0; i < fleet.size; i++) {
             if (isDue(i) && suspendedUntil[i] <= now) {
+                suspendedUntil[i] = mayProbe ? now + chance.jitter(suspension[i]) : TRIAL;
                 if (mayProbe) {
                     turn.probes.add(i);
-                    suspendedUntil[i] = now + chance.jitter(suspension[i]);
-                } else {
-                    trial[i] = true;
                 }
             }
         }
@@ -216,7 +206,7 @@
     }
 
     private boolean isDue(int i) {
-        return fleet.ready[i] && suspendedUntil[i] > 0 && !trial[i];
+        return fleet.ready[i] && suspendedUntil[i] > 0;
     }
 
     double wakeAt() {
@@ -230,10 +220,7 @@
     void probed(int i, boolean answered, double now, Turn turn) {
         if (answered) {
             connected(i, now, turn);
-            if (isDue(i)) {
-                trial[i] = true;
-                suspendedUntil[i] = now;
-            }
+            suspendedUntil[i] = isDue(i) ? TRIAL : suspendedUntil[i];
         }
     }
 }
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -1,12 +1,7 @@
 package lemondrift.decide;
 
 import java.util.PriorityQueue;
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Outcome;
-import lemondrift.model.ServiceGrade;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** Rule 1: one final answer before expiry and nothing sent after it. */
 final class Expiry extends Stage {
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -8,18 +8,15 @@
 final class Fleet {
     int size;
     boolean[] ready = {};
-    int[] location = {};
-    int[] cell = {};
+    int[] location = {}, cell = {}, out = {};
     /** When it last started, as told or as seen; 0 is long ago. */
     double[] started = {};
-    int[] out = {};
     /** The share of its full capacity that each has at the least; 1 is warm. */
     double[] coldShare = {};
     /** In good health, and with room in what it may be sent while cold. */
     boolean[] sound = {};
     /** Backends that may take the exchange in hand, each stage striking out some, and which come first. */
-    boolean[] candidate = {};
-    boolean[] first = {};
+    boolean[] candidate = {}, first = {};
 
     /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
     void listed(boolean whole, List<Listed> lines) {
--- a/src/main/java/lemondrift/decide/Lists.java
+++ b/src/main/java/lemondrift/decide/Lists.java
@@ -1,7 +1,6 @@
 package lemondrift.decide;
 
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** Keeps this proxy subscribed to changes of the list where it must ask for them. */
 final class Lists {
@@ -9,26 +8,22 @@
     private final double patience;
     private final Chance chance;
     private double askAt = Double.POSITIVE_INFINITY;
-    private double pause;
 
     Lists(Settings s, Chance chance) {
         onRequest = s.listOnRequest();
         patience = s.rules().askWithin() / 4;
-        pause = patience / 4;
         this.chance = chance;
     }
 
     /** A list held from before a restart may be stale, so the changes are asked for at once. */
     void listed(boolean stale, double now) {
         askAt = onRequest && stale ? now : Double.POSITIVE_INFINITY;
-        pause = patience / 4;
     }
 
     /** Danger: all proxies asking again in step keep a list service of fixed capacity down. */
     void failed(double now, Turn turn) {
         if (onRequest) {
-            askAt = now + chance.jitter(pause);
-            pause = Math.min(2 * pause, patience);
+            askAt = now + chance.jitter(patience / 2);
             turn.notes.add("list call failed, asking again");
         }
     }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -1,13 +1,6 @@
 package lemondrift.decide;
 
-import lemondrift.model.Effect;
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Group;
-import lemondrift.model.Outcome;
-import lemondrift.model.ServiceGrade;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** Rule 2: no effect twice. Says whether an exchange may be forwarded again, and to which backends. */
 final class Repeats extends Stage {
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -1,17 +1,12 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Outcome;
-import lemondrift.model.ServiceGrade;
-import lemondrift.model.Settings;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
 final class Selection extends Stage {
     /** Rates and mean utilisations are taken over this many windows. */
-    private static final double MEMORY = 8;
+    static final double MEMORY = 8;
     /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
     private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time, as a ratio to the fleet's. */
@@ -27,42 +22,32 @@
     private final Chance chance;
     private final int balancers;
     private final int here;
-    private final int utilisationAt;
-    private final int queueAt;
-    private final int rateAt;
+    private final Settings.Reports places;
     private final boolean byProbe;
     private final double probeCharge;
     private final double crossing;
     private final double[] benefit;
-    private double meanBenefit;
-    private double arrivals;
-    private double lastArrival;
+    private final double meanBenefit;
     /** The lower quartile of answer times, from few answers at first. */
     private double quick;
     private int answers;
     /** The mean wait met lately, and when it was met. */
-    private double metWait;
-    private double metAt;
+    private double metWait, metAt;
+    /** Figures of the fleet, worked out anew before each use. */
+    private double mean, serviceTime, ownRate;
     /** How soon a report fades: one in an answer within a window, one by probe within a few probes. */
     private double horizon;
 
-    private double[] report = {};
-    private double[] reportedAt = {};
-    private double[] meanReport = {};
-    private double[] sends = {};
+    private double[] report = {}, reportedAt = {}, meanReport = {}, sends = {}, probeAt = {};
     /** Exchanges a second that a backend is sent by all proxies, and when that was worked out. */
-    private double[] rate = {};
-    private double[] ratedAt = {};
-    private double[] probeAt = {};
+    private double[] rate = {}, ratedAt = {};
 
     Selection(Settings s, Fleet fleet, Chance chance) {
         this.fleet = fleet;
         this.chance = chance;
         balancers = s.balancers();
         here = s.location();
-        utilisationAt = s.reports().utilisation();
-        queueAt = s.reports().queue();
-        rateAt = s.reports().rate();
+        places = s.reports();
         byProbe = s.reports().byProbe() && s.limits().probes();
         probeCharge = s.charges().probe();
         crossing = s.charges().crossing();
@@ -89,19 +74,24 @@
 
     /** A report overwrites the estimate and clears the sends; exchanges that wait add their worth to it. */
     void reported(int i, double[] figures, boolean delivered, double now) {
-        if (figures == null || utilisationAt < 0 || utilisationAt >= figures.length) {
+        if (figures == null || !(figure(figures, places.utilisation(), -1) >= 0)) {
             return;
         }
-        double u = figures[utilisationAt];
+        lookOver(now);
+        double u = figure(figures, places.utilisation(), 0);
         meanReport[i] = u + faded(reportedAt[i], now) * (meanReport[i] - u);
-        if (rateAt >= 0 && rateAt < figures.length) {
-            rate[i] = figures[rateAt];
+        if (places.rate() >= 0) {
+            rate[i] = figure(figures, places.rate(), 0);
             ratedAt[i] = now;
         }
-        double waiting = queueAt >= 0 && queueAt < figures.length ? figures[queueAt] : 0;
+        double waiting = figure(figures, places.queue(), 0);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        overwrite(i, (delivered ? u : Math.max(u, mean(now))) + waiting * worth(i, serviceTime(now), now), now);
-        waited(wait(estimate(i, u, serviceTime(now), now)), now);
+        overwrite(i, (delivered ? u : Math.max(u, mean)) + waiting * worth(i, now), now);
+        waited(wait(estimate(i, now)), now);
+    }
+
+    private static double figure(double[] figures, int place, double otherwise) {
+        return place >= 0 && place < figures.length ? figures[place] : otherwise;
     }
 
     private void overwrite(int i, double estimate, double now) {
@@ -122,46 +112,37 @@
         return Math.max(0, estimate - 1) * window / balancers;
     }
 
-    private double faded(double since, double now) {
+    double faded(double since, double now) {
         return since == 0 ? 0 : Math.exp((since - now) / (MEMORY * window));
     }
 
-    /** The mean of the reports as far as they are trusted, with a half in one report's place. */
-    private double mean(double now) {
+    /** The fleet's mean, of the reports as far as they are trusted and a half, and its service time. */
+    private void lookOver(double now) {
         double sum = 0.5;
         double weight = 1;
-        for (int i = 0; i < fleet.size; i++) {
-            if (fleet.ready[i]) {
-                sum += report[i] * trust(i, now);
-                weight += trust(i, now);
-            }
-        }
-        return sum / weight;
-    }
-
-    /**
-     * The fleet's service time: utilisation over exchanges a second, at most the time of a quick answer.
-     * Danger: without that cap, sends that stop while reports stay high make every exchange look too long,
-     * all are shed, and no send ever comes to correct it.
-     */
-    double serviceTime(double now) {
         double u = 0;
         double sent = 0;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i]) {
+                sum += report[i] * trust(i, now);
+                weight += trust(i, now);
                 u += meanReport[i] * faded(reportedAt[i], now);
                 sent += rate[i] * faded(ratedAt[i], now);
             }
         }
-        return sent > 0 ? Math.max(quick * FLOOR, Math.min(quick, u / sent)) : quick;
+        mean = sum / weight;
+        ownRate = sent / balancers;
+        // Danger: sends that stop while reports stay high make every exchange look too long, all are shed,
+        // and no send ever comes to correct it; so a quick answer's time is the cap.
+        serviceTime = sent > 0 ? Math.max(quick * FLOOR, Math.min(quick, u / sent)) : quick;
     }
 
-    /** The utilisation that one exchange adds at a backend. One send's evidence of the fleet's steadies it. */
-    private double worth(int i, double fleetTime, double now) {
+    /** The utilisation one exchange adds at a backend; one send's evidence of the fleet's steadies it. */
+    private double worth(int i, double now) {
         double little = balancers / (MEMORY * window);
-        double s = (meanReport[i] * faded(reportedAt[i], now) + little * fleetTime)
+        double s = (meanReport[i] * faded(reportedAt[i], now) + little * serviceTime)
                 / (rate[i] * faded(ratedAt[i], now) + little);
-        return Math.max(fleetTime / SPREAD, Math.min(fleetTime * SPREAD, s)) * balancers / window
+        return Math.max(serviceTime / SPREAD, Math.min(serviceTime * SPREAD, s)) * balancers / window
                 / fleet.coldShare[i];
     }
 
@@ -170,38 +151,33 @@
     }
 
     /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
-    private double estimate(int i, double mean, double fleetTime, double now) {
+    private double estimate(int i, double now) {
         double trust = trust(i, now);
         double base = mean + trust * (report[i] - mean);
-        double told = report[i] >= SATURATED && queueAt < 0 ? 0 : trust;
+        double told = report[i] >= SATURATED && places.queue() < 0 ? 0 : trust;
         double own = told * sends[i] + (1 - told) * fleet.out[i];
         // Danger: a cold backend reports near nothing and draws more than it can bear.
-        return (fleet.coldShare[i] < 1 ? Math.max(base, mean) : base) + own * worth(i, fleetTime, now);
+        return (fleet.coldShare[i] < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
     }
 
-    /** The wait to expect: at the least loaded sound backend, or as met lately where that is longer. */
-    double expectedWait(double now) {
-        double mean = mean(now);
-        double fleetTime = serviceTime(now);
+    /** When to expect an answer: by the least loaded sound backend, or by the waits met lately if longer. */
+    double answerTime(double now) {
+        lookOver(now);
         double least = Double.POSITIVE_INFINITY;
         for (int i = 0; i < fleet.size; i++) {
-            if (fleet.sound[i]) {
-                least = Math.min(least, estimate(i, mean, fleetTime, now));
-            }
+            least = fleet.sound[i] ? Math.min(least, estimate(i, now)) : least;
         }
-        return Math.max(metWait * faded(metAt, now), wait(least));
+        return serviceTime + Math.max(metWait * faded(metAt, now), wait(least));
     }
 
     /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
     private int pick(Exchange x, double now) {
-        double mean = mean(now);
-        double fleetTime = serviceTime(now);
         double cross = crossing * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
         double least = Double.POSITIVE_INFINITY;
         int pick = -1;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.candidate[i]) {
-                double e = fleet.first[i] ? -1 : estimate(i, mean, fleetTime, now)
+                double e = fleet.first[i] ? -1 : estimate(i, now)
                         + (fleet.location[i] == here ? 0 : cross) + 1e-6 * chance.next();
                 if (e < least) {
                     least = e;
@@ -225,18 +201,12 @@
         turn.sends.add(x.latest);
         sends[i]++;
         fleet.out[i]++;
-        if (rateAt < 0) {
+        if (places.rate() < 0) {
             rate[i] = rate[i] * faded(ratedAt[i], now) + balancers / (MEMORY * window);
             ratedAt[i] = now;
         }
     }
 
-    void arrived(Exchange x, double now) {
-        meanBenefit += (benefit[x.grade] - meanBenefit) / 100;
-        arrivals = arrivals * faded(lastArrival, now) + 1 / (MEMORY * window);
-        lastArrival = now;
-    }
-
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         fleet.out[f.backend]--;
@@ -247,7 +217,8 @@
             }
             case TIMED_OUT, CONNECT_FAILED, FULL -> {
                 // Danger: a backend that answers nothing reports nothing, and looks as idle as it last was.
-                overwrite(f.backend, Math.max(1, estimate(f.backend, mean(now), serviceTime(now), now)), now);
+                lookOver(now);
+                overwrite(f.backend, Math.max(1, estimate(f.backend, now)), now);
                 waited(outcome == Outcome.FULL ? window : took, now);
             }
             default -> { }
@@ -257,7 +228,8 @@
 
     /** Probes now and then, jittered, where reports come no other way. */
     void wake(double now, Turn turn) {
-        double spare = PROBE_COST * Math.max(1, arrivals);
+        lookOver(now);
+        double spare = PROBE_COST * Math.max(1 / window, ownRate);
         double interval = Math.max(window / 2, probeCharge * fleet.readyCount() / spare);
         horizon = byProbe ? 4 * interval : window;
         for (int i = 0; byProbe && i < fleet.size; i++) {
--- a/src/main/java/lemondrift/decide/Stage.java
+++ b/src/main/java/lemondrift/decide/Stage.java
@@ -1,9 +1,6 @@
 package lemondrift.decide;
 
-import lemondrift.model.Exchange;
-import lemondrift.model.Forward;
-import lemondrift.model.Outcome;
-import lemondrift.model.Turn;
+import lemondrift.model.*;
 
 /** One link of the chain. An exchange goes outward until a stage ends it; an ending comes back inward. */
 abstract class Stage {
