--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -127,7 +127,7 @@
                 sum += report[i] * trust(i, now);
                 weight += trust(i, now);
                 u += meanReport[i] * faded(reportedAt[i], now);
-                sent += rate[i] * faded(ratedAt[i], now);
+                sent += reportedAt[i] > 0 ? rate[i] * faded(ratedAt[i], now) : 0;
             }
         }
         mean = sum / weight;
--- /dev/null
+++ b/src/test/java/lemondrift/RulesTest.java
@@ -0,0 +1,137 @@
+package lemondrift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import lemondrift.model.*;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** A slow, plain model of the four rules beside the module on generated days. */
+class RulesTest {
+    /** The work of each exchange; answers never take less. */
+    private static final double WORK = 0.1;
+    private static final ServiceGrade[] GRADES = {World.PURE, World.MARKED, World.ONCE, World.CELLS};
+
+    private final Map<Exchange, List<Forward>> made = new HashMap<>();
+    private final Map<Forward, Outcome> outcomes = new HashMap<>();
+    private final Map<Exchange, Integer> answered = new HashMap<>();
+    private final Map<Integer, Listed> told = new HashMap<>();
+    private final List<Forward> open = new ArrayList<>();
+    private World w;
+    private Exchange latest;
+
+    @Property(tries = 150, seed = "20261201")
+    void theModuleKeepsTheRules(@ForAll long seed, @ForAll @IntRange(min = 1, max = 7) int backends,
+            @ForAll boolean byProbe, @ForAll @IntRange(min = 1, max = 40) int pace) {
+        Random chance = new Random(seed);
+        w = new World(World.settings(chance.nextBoolean(), byProbe ? World.PROBES : World.ANSWERS, byProbe));
+        w.watcher = this::check;
+        List.of(made, outcomes, answered, told).forEach(Map::clear);
+        open.clear();
+        World.lines(backends).forEach(line -> told.put(line.backend(), line));
+        w.list(true, true, World.lines(backends));
+        for (int step = 0; step < 300; step++) {
+            w.wakeUntil(w.now + chance.nextDouble() * pace / 100);
+            endOverdue();
+            event(chance, backends);
+        }
+        w.wakeUntil(w.now + 3);
+        endOverdue();
+        made.keySet().forEach(x -> assertEquals(1, answered.getOrDefault(x, 0), "one final answer each"));
+    }
+
+    private void event(Random chance, int backends) {
+        int kind = chance.nextInt(20);
+        if (kind < 9) {
+            latest = new Exchange(made.size(), chance.nextInt(4), 0, w.now, 0.3 + chance.nextDouble());
+            made.put(latest, new ArrayList<>());
+            w.did(w.balancer.exchangeArrived(w.now, latest));
+        } else if (kind < 16 && !open.isEmpty()) {
+            Forward f = open.get(chance.nextInt(open.size()));
+            Outcome outcome = Outcome.values()[chance.nextInt(Outcome.values().length)];
+            if (outcome != Outcome.DELIVERED || w.now - f.sent >= WORK) {
+                end(f, outcome, chance.nextDouble());
+            }
+        } else if (kind < 18) {
+            int i = chance.nextInt(backends + 2);
+            Listed.State state = Listed.State.values()[chance.nextInt(3)];
+            told.put(i, World.line(i, state, chance.nextBoolean() ? w.now : 0));
+            w.list(false, false, List.of(told.get(i)));
+        } else if (kind == 18) {
+            w.did(w.balancer.probeAnswered(w.now, chance.nextInt(backends), chance.nextBoolean(),
+                    new double[] {0, 0}));
+        } else if (latest != null && !answered.containsKey(latest)) {
+            answered.put(latest, 1);
+            w.did(w.balancer.clientLeft(w.now, latest));
+        }
+    }
+
+    /** A forward whose time is up ends as a time-out, so that its exchange can be answered. */
+    private void endOverdue() {
+        for (Forward f : List.copyOf(open)) {
+            if (w.now >= f.sent + f.timeOut) {
+                end(f, Outcome.TIMED_OUT, 1);
+            }
+        }
+    }
+
+    private void end(Forward f, Outcome outcome, double utilisation) {
+        open.remove(f);
+        outcomes.put(f, outcome);
+        if (outcome == Outcome.DELIVERED) {
+            answered.putIfAbsent(f.exchange, 1);
+        }
+        w.did(w.balancer.forwardEnded(w.now, f, outcome, w.now - f.sent, answered.containsKey(f.exchange),
+                new double[] {utilisation, 0}));
+    }
+
+    private void check(Turn turn) {
+        for (Forward f : turn.sends) {
+            List<Forward> before = made.get(f.exchange);
+            assertTrue(!answered.containsKey(f.exchange) && w.now < f.exchange.expiry, "rule 1: sent late");
+            before.forEach(b -> assertTrue(outcomes.containsKey(b), "two forwards out at once"));
+            before.stream().filter(b -> !outcomes.get(b).neverRan).findFirst().ifPresent(b ->
+                    assertTrue(mayRepeat(GRADES[f.exchange.grade], b, f), "rule 2: " + outcomes.get(b)));
+            assertEquals(Listed.State.READY, told.get(f.backend).state(), "rule 3");
+            before.add(f);
+            open.add(f);
+            assertTrue(work(f.backend) <= budget(f.backend) + WORK, "rule 4: " + work(f.backend));
+        }
+        for (Turn.Answer a : turn.answers) {
+            assertTrue(w.now <= a.exchange().expiry, "rule 1: answered late");
+            assertEquals(1, answered.merge(a.exchange(), 1, Integer::sum), "rule 1: answered twice");
+            boolean harmless = made.get(a.exchange()).stream()
+                    .allMatch(f -> outcomes.containsKey(f) && outcomes.get(f).neverRan);
+            assertTrue(!a.shed() || harmless || a.exchange().grade == 0, "rule 2: shed, may have run");
+        }
+    }
+
+    private boolean mayRepeat(ServiceGrade grade, Forward ran, Forward again) {
+        Listed from = told.get(ran.backend);
+        Listed to = told.get(again.backend);
+        return grade.effect() == Effect.PURE || grade.effect() == Effect.RECEIPTED
+                && w.now - ran.sent <= grade.receiptMemory() && from.location() == to.location()
+                && (grade.group() == Group.LOCATION || from.cell() == to.cell());
+    }
+
+    /** All that was sent to a backend within the window up to now, since it started. */
+    private double work(int i) {
+        return WORK * made.values().stream().flatMap(List::stream).filter(f -> f.backend == i
+                && f.sent > w.now - World.RULES.fallWindow() && f.sent >= told.get(i).started()).count();
+    }
+
+    /** This proxy's part of what a cold backend bears in one window; without bound where it is warm. */
+    private double budget(int i) {
+        double age = (w.now - told.get(i).started()) / World.RULES.cold();
+        double share = World.RULES.coldFrom() + (1 - World.RULES.coldFrom()) * age;
+        return told.get(i).started() == 0 || age >= 1 ? Double.POSITIVE_INFINITY
+                : World.RULES.fallMultiple() * share * World.RULES.fallWindow() / 3;
+    }
+}
--- /dev/null
+++ b/src/test/java/lemondrift/World.java
@@ -0,0 +1,125 @@
+package lemondrift;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.function.Consumer;
+import lemondrift.decide.Balancer;
+import lemondrift.model.*;
+
+/** One proxy's decisions in a small made-up deployment, and frames built by hand. */
+final class World {
+    static final ServiceGrade PURE = new ServiceGrade(1, 0, 1, 2, Effect.PURE, Group.ALL, 0);
+    static final ServiceGrade MARKED = new ServiceGrade(4, 0, 1, 2, Effect.RECEIPTED, Group.LOCATION, 0.5);
+    static final ServiceGrade ONCE = new ServiceGrade(8, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0);
+    static final ServiceGrade CELLS = new ServiceGrade(2, 0, 1, 2, Effect.RECEIPTED, Group.CELL, 0.8);
+    static final Settings.Reports ANSWERS = new Settings.Reports(true, false, 0, 1, -1);
+    static final Settings.Reports PROBES = new Settings.Reports(false, true, 0, -1, -1);
+    static final Settings.Rules RULES = new Settings.Rules(0.25, 8, 3, 2, 10);
+
+    final Balancer balancer;
+    final List<Turn.Answer> answers = new ArrayList<>();
+    final List<Forward> sends = new ArrayList<>();
+    final List<Forward> cancels = new ArrayList<>();
+    final List<Integer> probes = new ArrayList<>();
+    final List<Turn.ListCall> listCalls = new ArrayList<>();
+    double now = 100;
+    double wakeAt;
+    Consumer<Turn> watcher = turn -> { };
+
+    World(Settings settings) {
+        balancer = new Balancer(settings, 7);
+    }
+
+    static World of(int backends) {
+        World world = new World(settings(false, ANSWERS, true));
+        world.list(true, false, lines(backends));
+        return world;
+    }
+
+    static Settings settings(boolean onRequest, Settings.Reports reports, boolean mayProbe) {
+        return new Settings(3, 0, onRequest, List.of(PURE, MARKED, ONCE, CELLS), new double[0], 1, false,
+                reports, new Settings.Limits(true, mayProbe, false, 4, 0.5), RULES,
+                new Settings.Charges(0.1, 0.002));
+    }
+
+    static List<Listed> lines(int backends) {
+        List<Listed> lines = new ArrayList<>();
+        for (int i = 0; i < backends; i++) {
+            lines.add(line(i, Listed.State.READY, 0));
+        }
+        return lines;
+    }
+
+    static Listed line(int i, Listed.State state, double started) {
+        return new Listed(i, i % 2, i % 4, state, started);
+    }
+
+    Turn did(Turn turn) {
+        watcher.accept(turn);
+        answers.addAll(turn.answers);
+        sends.addAll(turn.sends);
+        cancels.addAll(turn.cancels);
+        probes.addAll(turn.probes);
+        listCalls.addAll(turn.listCalls);
+        wakeAt = turn.wakeAt;
+        return turn;
+    }
+
+    void list(boolean whole, boolean stale, List<Listed> lines) {
+        did(balancer.backendsListed(now, whole, stale, lines));
+    }
+
+    /** The forward that a new exchange is sent by, or null. */
+    Forward arrive(int grade) {
+        int before = sends.size();
+        did(balancer.exchangeArrived(now, new Exchange(sends.size(), grade, 0, now, 2)));
+        return sends.size() > before ? sends.get(before) : null;
+    }
+
+    /** The forward that follows, or null. */
+    Forward end(Forward f, Outcome outcome, double... report) {
+        int before = sends.size();
+        did(balancer.forwardEnded(now, f, outcome, now - f.sent, outcome == Outcome.DELIVERED,
+                report.length == 0 ? null : report));
+        return sends.size() > before ? sends.get(before) : null;
+    }
+
+    void wakeUntil(double time) {
+        while (wakeAt <= time) {
+            now = Math.max(now, wakeAt);
+            did(balancer.wake(now));
+        }
+        now = time;
+    }
+
+    static byte[] hex(String text) {
+        return HexFormat.of().parseHex(text.replaceAll("\\s", ""));
+    }
+
+    /** A batch at 61,233.0 ms of records given in hex; each states its own code and length. */
+    static byte[] batch(int count, String... records) {
+        byte[] body = hex(String.join("", records));
+        return ByteBuffer.allocate(16 + body.length).order(ByteOrder.LITTLE_ENDIAN).putInt(12 + body.length)
+                .putDouble(61_233).putInt(count).put(body).array();
+    }
+
+    static String born(int instance, String... dropped) {
+        String text = "siblings=3\nzone=0\nmembershipMode=pushed\nreport.how=inline\n"
+                + "report.names=util,queue\nlimits.mostForwards=5\nlimits.mayCancel=true\n"
+                + "limits.retryAfter=true\nlimits.maxRetryAfter=500\n"
+                + "invariants.coldFrom=0.3\ninvariants.cold=8000\n"
+                + "invariants.fallMultiple=3\ninvariants.overloadFor=2000\nserviceGrades.count=1\n"
+                + "serviceGrades.0.benefit=1\nserviceGrades.0.contractTime=350\nserviceGrades.0.expiry=880\n"
+                + "serviceGrades.0.effect=retryable\nsomething.new=1\n";
+        for (String key : dropped) {
+            text = text.replaceAll(key + "=.*\n", "");
+        }
+        byte[] bytes = text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        ByteBuffer b = ByteBuffer.allocate(21 + bytes.length).order(ByteOrder.LITTLE_ENDIAN).put((byte) 1)
+                .putInt(16 + bytes.length).putInt(instance).putLong(42).putInt(bytes.length).put(bytes);
+        return HexFormat.of().formatHex(b.array());
+    }
+}
