--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -9,10 +9,8 @@
     static final double MEMORY = 8;
     /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
     private static final double SATURATED = 0.9;
-    /** Floor and cap of a backend's service time, as a ratio to the fleet's. */
+    /** Floor and cap of a backend's service time to the fleet's, and of that to a quick answer's time. */
     private static final double SPREAD = 2;
-    /** Floor of the fleet's service time, as a share of a quick answer's: a backend has a few cores. */
-    private static final double FLOOR = 0.125;
     /** The share of all benefit that probes may cost. */
     private static final double PROBE_COST = 0.0025;
 
@@ -87,7 +85,9 @@
         double waiting = figure(figures, places.queue(), 0);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
         overwrite(i, (delivered ? u : Math.max(u, mean)) + waiting * worth(i, now), now);
-        waited(wait(estimate(i, now)), now);
+        if (places.inAnswers()) {
+            waited(wait(estimate(i, now)), now);
+        }
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
@@ -134,7 +134,7 @@
         ownRate = sent / balancers;
         // Danger: sends that stop while reports stay high make every exchange look too long, all are shed,
         // and no send ever comes to correct it; so a quick answer's time is the cap.
-        serviceTime = sent > 0 ? Math.max(quick * FLOOR, Math.min(quick, u / sent)) : quick;
+        serviceTime = sent > 0 ? Math.max(quick / SPREAD, Math.min(quick * SPREAD, u / sent)) : quick;
     }
 
     /** The utilisation one exchange adds at a backend; one send's evidence of the fleet's steadies it. */
@@ -214,6 +214,10 @@
             case DELIVERED -> {
                 double step = Math.max(0.05, 1 / (1.0 + ++answers));
                 quick *= took < quick ? 1 - 0.75 * step : 1 + 0.25 * step;
+                // Danger: probes outnumber answers and see little waiting; only what exchanges met counts.
+                if (!places.inAnswers()) {
+                    waited(Math.max(0, took - quick), now);
+                }
             }
             case TIMED_OUT, CONNECT_FAILED, FULL -> {
                 // Danger: a backend that answers nothing reports nothing, and looks as idle as it last was.
--- a/src/test/java/lemondrift/World.java
+++ b/src/test/java/lemondrift/World.java
@@ -88,7 +88,10 @@
     }
 
     void wakeUntil(double time) {
-        while (wakeAt <= time) {
+        for (int wakes = 0; wakeAt <= time; wakes++) {
+            if (wakes > 10_000) {
+                throw new AssertionError("wakes without end");
+            }
             now = Math.max(now, wakeAt);
             did(balancer.wake(now));
         }
