--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -6,9 +6,9 @@
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
     /** The share of its contract time that an exchange of no benefit may wait. */
-    private static final double LEAST_SHARE = 0.6;
+    private static final double LEAST_SHARE = 0.4;
     /** The like for an exchange of most benefit; the rest is room for its own work to turn out long. */
-    private static final double MOST_SHARE = 0.9;
+    private static final double MOST_SHARE = 0.65;
 
     private final Eligibility eligibility;
     private final Selection selection;
@@ -41,10 +41,10 @@
             worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         eligibility.refresh(now);
-        double expected = selection.answerTime(now);
+        double wait = selection.expectedWait(now);
         double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * worth) * (x.contract - now);
-        if (expected > limit) {
-            giveUp(x, expected, now, turn);
+        if (wait > limit) {
+            giveUp(x, wait, now, turn);
         } else {
             super.offer(x, now, turn);
         }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -160,14 +160,14 @@
         return (fleet.coldShare[i] < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
     }
 
-    /** When to expect an answer: by the least loaded sound backend, or by the waits met lately if longer. */
-    double answerTime(double now) {
+    /** The wait to expect: at the least loaded sound backend, or as met lately where that is longer. */
+    double expectedWait(double now) {
         lookOver(now);
         double least = Double.POSITIVE_INFINITY;
         for (int i = 0; i < fleet.size; i++) {
             least = fleet.sound[i] ? Math.min(least, estimate(i, now)) : least;
         }
-        return serviceTime + Math.max(metWait * faded(metAt, now), wait(least));
+        return Math.max(metWait * faded(metAt, now), wait(least));
     }
 
     /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
