--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -12,11 +12,8 @@
 
     private final Eligibility eligibility;
     private final Selection selection;
-    private final double[] benefit;
-    private final double[] quota;
-    private final double excessBenefit;
-    private final double mostBenefit;
-    private final double[] used;
+    private final double[] benefit, quota, used;
+    private final double excessBenefit, mostBenefit;
     private double usedAt;
 
     Admission(Settings s, Eligibility eligibility, Selection selection) {
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -30,7 +30,7 @@
     public Turn exchangeArrived(double now, Exchange x) {
         turn.clear();
         expiry.take(x, now, turn);
-        return done(now);
+        return done();
     }
 
     /** Over tells that the exchange has had its final answer, by this outcome or before. */
@@ -42,14 +42,14 @@
         f.exchange.over |= over;
         selection.reported(f.backend, report, outcome == Outcome.DELIVERED, now);
         selection.ended(f, outcome, took, now, turn);
-        return done(now);
+        return done();
     }
 
     /** The answer streams: the client has it, and no time-out runs any more. */
     public Turn answerBegun(double now, Forward f) {
         turn.clear();
         f.exchange.begun = true;
-        return done(now);
+        return done();
     }
 
     /** Whole lists name every backend; a stale one is what was held before this proxy started. */
@@ -60,41 +60,40 @@
         eligibility.listed();
         lists.listed(stale, now);
         lists.wake(now, turn);
-        return done(now);
+        return done();
     }
 
     public Turn listFailed(double now) {
         turn.clear();
         lists.failed(now, turn);
-        return done(now);
+        return done();
     }
 
     public Turn probeAnswered(double now, int backend, boolean answered, double[] report) {
         turn.clear();
         selection.reported(backend, report, answered, now);
         eligibility.probed(backend, answered, now, turn);
-        return done(now);
+        return done();
     }
 
     /** Nothing is owed any more; what is out is called off. */
     public Turn clientLeft(double now, Exchange x) {
         turn.clear();
         expiry.clientLeft(x, turn);
-        return done(now);
+        return done();
     }
 
     public Turn wake(double now) {
         turn.clear();
         expiry.wake(now, turn);
         selection.wake(now, turn);
-        eligibility.wake(now, turn);
+        eligibility.probing(now, turn);
         lists.wake(now, turn);
-        return done(now);
+        return done();
     }
 
-    private Turn done(double now) {
-        turn.wakeAt = Math.min(Math.min(expiry.wakeAt(), lists.wakeAt()),
-                Math.min(selection.wakeAt(), eligibility.wakeAt()));
+    private Turn done() {
+        turn.wakeAt = Math.min(expiry.wakeAt(), Math.min(lists.askAt, selection.wakeAt()));
         return turn;
     }
 }
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -1,6 +1,7 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
+import java.util.List;
 import lemondrift.model.*;
 
 /** Rules 3 and 4 and health: which backends may take an exchange now. */
@@ -15,30 +16,25 @@
     private static final double MOST_SUSPENDED = 0.5;
     /** A probe's work as a share of an exchange's, where a cold backend's allowance counts it. */
     private static final double PROBE_WORK = 0.1;
+    private static final double TRIAL = -1;
 
     private final Fleet fleet;
     private final Selection selection;
     private final Chance chance;
     private final boolean mayProbe;
     /** Grades whose exchanges may be risked on a trial: those that may repeat, or all where none may. */
-    private final boolean[] mayTry;
+    private final List<Boolean> mayTry;
     /** Mean answer times by service grade; they hold some waiting, so as work they are never too little. */
     private final double[] answerTime;
-    private final double coldFrom;
-    private final double coldTime;
+    private final double coldFrom, coldTime;
     /** Seconds of one warm core's work that this proxy may send in any fall window, and that window. */
-    private final double coldBudget;
-    private final double fallWindow;
+    private final double coldBudget, fallWindow;
     private double usualBad = SOUND;
 
-    private static final double TRIAL = -1;
-
     private double[] score = {}, suspension = {}, startSeen = {};
-    /** 0 is not suspended; TRIAL is waiting for one trial exchange. */
-    private double[] suspendedUntil = {};
+    /** 0 is not suspended, TRIAL waits for a trial; when all sent to a cold one has drained as it may. */
+    private double[] suspendedUntil = {}, drainedAt = {};
     private int[] unconnected = {};
-    /** When all that a cold backend was sent has drained at the rate it may be sent. */
-    private double[] drainedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Selection selection, Chance chance) {
         this.fleet = fleet;
@@ -46,13 +42,8 @@
         this.chance = chance;
         mayProbe = s.limits().probes();
         boolean noneRepeats = s.grades().stream().allMatch(g -> g.effect() == Effect.EFFECTFUL);
-        mayTry = new boolean[s.grades().size()];
-        answerTime = new double[mayTry.length];
-        for (int g = 0; g < mayTry.length; g++) {
-            ServiceGrade grade = s.grades().get(g);
-            mayTry[g] = noneRepeats || grade.effect() != Effect.EFFECTFUL;
-            answerTime[g] = grade.contractTime() / 2;
-        }
+        mayTry = s.grades().stream().map(g -> noneRepeats || g.effect() != Effect.EFFECTFUL).toList();
+        answerTime = s.grades().stream().mapToDouble(g -> g.contractTime() / 2).toArray();
         coldFrom = s.rules().coldFrom();
         coldTime = s.rules().cold();
         fallWindow = s.rules().fallWindow();
@@ -88,14 +79,13 @@
         for (int i = 0; i < fleet.size; i++) {
             double age = fleet.started[i] <= 0 ? 1 : Math.max(0, now - fleet.started[i]) / coldTime;
             fleet.coldShare[i] = age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
-            fleet.sound[i] = fleet.ready[i] && suspendedUntil[i] == 0 && hasRoom(i, now);
+            suspendedUntil[i] = isDue(i, now) && !mayProbe ? TRIAL : suspendedUntil[i];
+            fleet.suspended[i] = suspendedUntil[i] != 0;
+            fleet.sound[i] = fleet.ready[i] && !fleet.suspended[i] && hasRoom(i, now);
         }
     }
 
-    /**
-     * Rule 4: half a window's budget may go out at once and the other half drains in over the window.
-     * Danger: a burst just after a start would spend the whole budget before the window has passed.
-     */
+    /** Rule 4: half of a window's budget may go out at once, the rest over it. Danger: a burst spends all. */
     private boolean hasRoom(int i, double now) {
         return fleet.coldShare[i] == 1 || drainedAt[i] <= now
                 || drainedAt[i] + drain(i, 1) <= now + fallWindow;
@@ -117,7 +107,7 @@
     void offer(Exchange x, double now, Turn turn) {
         for (int i = 0; i < fleet.size; i++) {
             fleet.first[i] = fleet.candidate[i] && suspendedUntil[i] == TRIAL && fleet.out[i] == 0
-                    && hasRoom(i, now) && mayTry[x.grade];
+                    && hasRoom(i, now) && mayTry.get(x.grade);
             fleet.candidate[i] &= fleet.sound[i] || fleet.first[i];
         }
         super.offer(x, now, turn);
@@ -137,11 +127,10 @@
                 connected(i, now, turn);
                 judge(i, late, now, turn);
             }
-            case CONNECT_FAILED -> {
-                unconnected[i]++;
+            case CONNECT_FAILED, ERROR, RESET, TIMED_OUT -> {
+                unconnected[i] += outcome == Outcome.CONNECT_FAILED ? 1 : 0;
                 judge(i, true, now, turn);
             }
-            case ERROR, RESET, TIMED_OUT -> judge(i, true, now, turn);
             default -> { }
         }
         super.ended(f, outcome, took, now, turn);
@@ -176,6 +165,10 @@
         }
     }
 
+    private boolean isDue(int i, double now) {
+        return suspendedUntil[i] > 0 && suspendedUntil[i] <= now;
+    }
+
     private void suspend(int i, double now) {
         suspendedUntil[i] = now + chance.jitter(suspension[i]);
         suspension[i] = Math.min(coldTime, 2 * suspension[i]);
@@ -190,37 +183,18 @@
         return count <= MOST_SUSPENDED * fleet.readyCount();
     }
 
-    /** A suspended backend is probed first where that is allowed, then tried with one exchange. */
-    void wake(double now, Turn turn) {
-        for (int i = 0; i < fleet.size; i++) {
-            if (isDue(i) && suspendedUntil[i] <= now) {
-                suspendedUntil[i] = mayProbe ? now + chance.jitter(suspension[i]) : TRIAL;
-                if (mayProbe) {
-                    turn.probes.add(i);
-                }
-            }
-        }
+    /** Probes count in a cold backend's allowance too. */
+    void probing(double now, Turn turn) {
         for (int i : turn.probes) {
             spend(i, PROBE_WORK, now);
         }
     }
 
-    private boolean isDue(int i) {
-        return fleet.ready[i] && suspendedUntil[i] > 0;
-    }
-
-    double wakeAt() {
-        double at = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < fleet.size; i++) {
-            at = isDue(i) ? Math.min(at, suspendedUntil[i]) : at;
-        }
-        return at;
-    }
-
+    /** A suspended backend that has answered a probe is tried with one exchange. */
     void probed(int i, boolean answered, double now, Turn turn) {
         if (answered) {
             connected(i, now, turn);
-            suspendedUntil[i] = isDue(i) ? TRIAL : suspendedUntil[i];
+            suspendedUntil[i] = isDue(i, now) ? TRIAL : suspendedUntil[i];
         }
     }
 }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -13,6 +13,8 @@
     double[] started = {};
     /** The share of its full capacity that each has at the least; 1 is warm. */
     double[] coldShare = {};
+    /** Suspended ones, to be probed before they are tried. */
+    boolean[] suspended = {};
     /** In good health, and with room in what it may be sent while cold. */
     boolean[] sound = {};
     /** Backends that may take the exchange in hand, each stage striking out some, and which come first. */
@@ -43,6 +45,7 @@
         out = Arrays.copyOf(out, wanted);
         coldShare = Arrays.copyOf(coldShare, wanted);
         Arrays.fill(coldShare, size, wanted, 1);
+        suspended = Arrays.copyOf(suspended, wanted);
         sound = Arrays.copyOf(sound, wanted);
         candidate = Arrays.copyOf(candidate, wanted);
         first = Arrays.copyOf(first, wanted);
--- a/src/main/java/lemondrift/decide/Lists.java
+++ b/src/main/java/lemondrift/decide/Lists.java
@@ -7,7 +7,7 @@
     private final boolean onRequest;
     private final double patience;
     private final Chance chance;
-    private double askAt = Double.POSITIVE_INFINITY;
+    double askAt = Double.POSITIVE_INFINITY;
 
     Lists(Settings s, Chance chance) {
         onRequest = s.listOnRequest();
@@ -34,8 +34,4 @@
             askAt = now + 2 * patience;
         }
     }
-
-    double wakeAt() {
-        return askAt;
-    }
 }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -29,14 +29,18 @@
     void offer(Exchange x, double now, Turn turn) {
         ServiceGrade grade = grades[x.grade];
         boolean repeat = x.forwards > 0;
-        if (repeat && (x.forwards >= mostForwards || credit < 1 || !mayForward(grade, x, now))) {
+        boolean harmless = x.mayHaveRun == null || grade.effect() == Effect.PURE;
+        // Danger: receipts are forgotten after a while, counted from the first send that may have run.
+        boolean marked = grade.effect() == Effect.RECEIPTED
+                && (harmless || now - x.mayHaveRun.sent < grade.receiptMemory());
+        if (repeat && (x.forwards >= mostForwards || credit < 1 || !harmless && !marked)) {
             giveUp(x, 0, now, turn);
             return;
         }
         credit = repeat ? credit - 1 : Math.min(mostForwards, credit + RETRY_SHARE);
         for (int i = 0; i < fleet.size; i++) {
-            fleet.candidate[i] = fleet.ready[i] && (x.mayHaveRun == null || grade.effect() == Effect.PURE
-                    || sameGroup(grade.group(), x.mayHaveRun.backend, i));
+            fleet.candidate[i] = fleet.ready[i]
+                    && (harmless || sameGroup(grade.group(), x.mayHaveRun.backend, i));
         }
         for (Forward f = x.latest; f != null; f = f.earlier) {
             fleet.candidate[f.backend] = false;
@@ -44,12 +48,6 @@
         super.offer(x, now, turn);
     }
 
-    /** Danger: receipts are forgotten after a while, counted from the first send that may have run. */
-    private static boolean mayForward(ServiceGrade grade, Exchange x, double now) {
-        return x.mayHaveRun == null || grade.effect() == Effect.PURE
-                || grade.effect() == Effect.RECEIPTED && now - x.mayHaveRun.sent < grade.receiptMemory();
-    }
-
     private boolean sameGroup(Group group, int a, int b) {
         return group == Group.ALL || fleet.location[a] == fleet.location[b]
                 && (group == Group.LOCATION || fleet.cell[a] == fleet.cell[b]);
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -11,6 +11,7 @@
     private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time to the fleet's, and of that to a quick answer's time. */
     private static final double SPREAD = 2;
+    private static final double STEP = 0.02;
     /** The share of all benefit that probes may cost. */
     private static final double PROBE_COST = 0.0025;
 
@@ -18,17 +19,13 @@
     final double window;
     private final Fleet fleet;
     private final Chance chance;
-    private final int balancers;
-    private final int here;
+    private final int balancers, here;
     private final Settings.Reports places;
-    private final boolean byProbe;
-    private final double probeCharge;
-    private final double crossing;
+    private final boolean mayProbe, byProbe;
+    private final double probeCharge, crossing, meanBenefit;
     private final double[] benefit;
-    private final double meanBenefit;
-    /** The lower quartile of answer times, from few answers at first. */
+    /** The lower quartile of answer times: three steps down balance one up. */
     private double quick;
-    private int answers;
     /** The mean wait met lately, and when it was met. */
     private double metWait, metAt;
     /** Figures of the fleet, worked out anew before each use. */
@@ -46,7 +43,8 @@
         balancers = s.balancers();
         here = s.location();
         places = s.reports();
-        byProbe = s.reports().byProbe() && s.limits().probes();
+        mayProbe = s.limits().probes();
+        byProbe = s.reports().byProbe();
         probeCharge = s.charges().probe();
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
@@ -212,8 +210,7 @@
         fleet.out[f.backend]--;
         switch (outcome) {
             case DELIVERED -> {
-                double step = Math.max(0.05, 1 / (1.0 + ++answers));
-                quick *= took < quick ? 1 - 0.75 * step : 1 + 0.25 * step;
+                quick *= took < quick ? 1 - 3 * STEP : 1 + STEP;
                 // Danger: probes outnumber answers and see little waiting; only what exchanges met counts.
                 if (!places.inAnswers()) {
                     waited(Math.max(0, took - quick), now);
@@ -230,24 +227,28 @@
         super.ended(f, outcome, took, now, turn);
     }
 
-    /** Probes now and then, jittered, where reports come no other way. */
+    /** Probes now and then, jittered, where reports come no other way, and those that are suspended. */
     void wake(double now, Turn turn) {
         lookOver(now);
         double spare = PROBE_COST * Math.max(1 / window, ownRate);
         double interval = Math.max(window / 2, probeCharge * fleet.readyCount() / spare);
         horizon = byProbe ? 4 * interval : window;
-        for (int i = 0; byProbe && i < fleet.size; i++) {
-            if (fleet.ready[i] && probeAt[i] <= now) {
+        for (int i = 0; i < fleet.size; i++) {
+            if (isProbed(i) && probeAt[i] <= now) {
                 turn.probes.add(i);
                 probeAt[i] = now + chance.jitter(interval);
             }
         }
     }
 
+    private boolean isProbed(int i) {
+        return mayProbe && fleet.ready[i] && (byProbe || fleet.suspended[i]);
+    }
+
     double wakeAt() {
         double at = Double.POSITIVE_INFINITY;
-        for (int i = 0; byProbe && i < fleet.size; i++) {
-            at = fleet.ready[i] ? Math.min(at, probeAt[i]) : at;
+        for (int i = 0; i < fleet.size; i++) {
+            at = isProbed(i) ? Math.min(at, probeAt[i]) : at;
         }
         return at;
     }
