--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -127,13 +127,10 @@
                 connected(i, now, turn);
                 judge(i, late, now, turn);
             }
-            case CONNECT_FAILED -> {
-                // A sound backend nearly always takes a connection, so one that does not is out at once.
-                unconnected[i]++;
-                score[i] = SUSPEND_AT;
+            case CONNECT_FAILED, ERROR, RESET, TIMED_OUT -> {
+                unconnected[i] += outcome == Outcome.CONNECT_FAILED ? 1 : 0;
                 judge(i, true, now, turn);
             }
-            case ERROR, RESET, TIMED_OUT -> judge(i, true, now, turn);
             default -> { }
         }
         super.ended(f, outcome, took, now, turn);
