Take the wait met over two windows of own outcomes; reports fade twice as fast

Cause: the wait met went over one outcome a backend, a span that grew with the fleet and shrank with traffic, and reports were trusted past their time. Found by halving and doubling the constants.

--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -5,8 +5,8 @@
 
 /** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
 final class Selection extends Stage {
-    /** Rates and mean utilisations are taken over this many windows. */
-    static final double MEMORY = 8;
+    /** Rates and mean utilisations are taken over so many windows, the wait met lately over so many. */
+    static final double MEMORY = 8, MET = 2;
     /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
     private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time to the fleet's, and of that to a quick answer's time. */
@@ -51,7 +51,7 @@
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
         window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
         quick = window / 16;
-        horizon = window;
+        horizon = window / 2;
     }
 
     void listed(double now) {
@@ -98,10 +98,10 @@
         sends[i] = 0;
     }
 
-    /** The mean wait met lately, over about one outcome a backend; it fades when none come. */
+    /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
     private void waited(double wait, double now) {
         double met = metWait * faded(metAt, now);
-        metWait = met + (wait - met) / Math.max(1, fleet.readyCount());
+        metWait = met + (wait - met) / Math.max(4, MET * window * ownRate);
         metAt = now;
     }
 
@@ -118,18 +118,18 @@
     private void lookOver(double now) {
         double sum = 0.5;
         double weight = 1;
-        double u = 0;
-        double sent = 0;
+        double u = 0, all = 0, sent = 0;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i]) {
                 sum += report[i] * trust(i, now);
                 weight += trust(i, now);
                 u += meanReport[i] * faded(reportedAt[i], now);
+                all += rate[i] * faded(ratedAt[i], now);
                 sent += reportedAt[i] > 0 ? rate[i] * faded(ratedAt[i], now) : 0;
             }
         }
         mean = sum / weight;
-        ownRate = sent / balancers;
+        ownRate = all / balancers;
         // Danger: sends that stop while reports stay high make every exchange look too long, all are shed,
         // and no send ever comes to correct it; so a quick answer's time is the cap.
         serviceTime = sent > 0 ? Math.max(quick / SPREAD, Math.min(quick * SPREAD, u / sent)) : quick;
@@ -232,7 +232,7 @@
         lookOver(now);
         double spare = PROBE_COST * Math.max(1 / window, ownRate);
         double interval = Math.max(window / 2, probeCharge * fleet.readyCount() / spare);
-        horizon = byProbe ? 4 * interval : window;
+        horizon = byProbe ? 2 * interval : window / 2;
         for (int i = 0; i < fleet.size; i++) {
             if (isProbed(i) && probeAt[i] <= now) {
                 turn.probes.add(i);
