--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,15 +5,14 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    /** The share of its contract time that an exchange of no benefit may wait. */
-    private static final double LEAST_SHARE = 0.4;
-    /** The like for an exchange of most benefit; the rest is room for its own work to turn out long. */
-    private static final double MOST_SHARE = 0.65;
+    /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
+    private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
     private final Eligibility eligibility;
     private final Selection selection;
     private final double[] benefit, quota, used;
     private final double excessBenefit, mostBenefit;
+    private final boolean byWork;
     private double usedAt;
 
     Admission(Settings s, Eligibility eligibility, Selection selection) {
@@ -23,23 +22,24 @@
         mostBenefit = Arrays.stream(benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
         used = new double[quota.length];
+        byWork = s.benefitByWork();
         excessBenefit = s.excessBenefit();
     }
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        double worth = benefit[x.grade] / mostBenefit;
+        double rank = benefit[x.grade] / mostBenefit / (byWork ? 1 : eligibility.relativeWork(x.grade));
         if (x.tenant < quota.length) {
             for (int i = 0; i < used.length; i++) {
                 used[i] *= selection.faded(usedAt, now);
             }
             usedAt = now;
             used[x.tenant] += x.forwards == 0 ? 1 / (Selection.MEMORY * selection.window) : 0;
-            worth *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
+            rank *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         eligibility.refresh(now);
         double wait = selection.expectedWait(now);
-        double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * worth) * (x.contract - now);
+        double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank)) * (x.contract - now);
         if (wait > limit) {
             giveUp(x, wait, now, turn);
         } else {
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -45,7 +45,6 @@
         return done();
     }
 
-    /** The answer streams: the client has it, and no time-out runs any more. */
     public Turn answerBegun(double now, Forward f) {
         turn.clear();
         f.exchange.begun = true;
@@ -76,7 +75,6 @@
         return done();
     }
 
-    /** Nothing is owed any more; what is out is called off. */
     public Turn clientLeft(double now, Exchange x) {
         turn.clear();
         expiry.clientLeft(x, turn);
--- a/src/main/java/lemondrift/decide/Chance.java
+++ b/src/main/java/lemondrift/decide/Chance.java
@@ -12,7 +12,6 @@
         this.seed = seed;
     }
 
-    /** Evenly between 0 and 1. */
     double next() {
         CRC32 crc = new CRC32();
         crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(seed).putLong(++counter).flip());
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -93,8 +93,15 @@
 
     /** How long some exchanges' work takes to drain at half of a cold backend's budget a window. */
     private double drain(int i, double exchanges) {
-        double work = Arrays.stream(answerTime).average().orElse(0) * exchanges;
-        return work * fallWindow / (coldBudget * fleet.coldShare[i] / 2);
+        return meanTime() * exchanges * fallWindow / (coldBudget * fleet.coldShare[i] / 2);
+    }
+
+    private double meanTime() {
+        return Arrays.stream(answerTime).average().orElse(0);
+    }
+
+    double relativeWork(int grade) {
+        return answerTime[grade] / meanTime();
     }
 
     private void spend(int i, double exchanges, double now) {
@@ -183,7 +190,6 @@
         return count <= MOST_SUSPENDED * fleet.readyCount();
     }
 
-    /** Probes count in a cold backend's allowance too. */
     void probing(double now, Turn turn) {
         for (int i : turn.probes) {
             spend(i, PROBE_WORK, now);
--- a/src/main/java/lemondrift/decide/Stage.java
+++ b/src/main/java/lemondrift/decide/Stage.java
@@ -7,7 +7,6 @@
     private Stage inner;
     private Stage outer;
 
-    /** Links the next stage outward and returns it. */
     final Stage then(Stage next) {
         outer = next;
         next.inner = this;
