Run a retry's contract time from its first try

A try with less time left than its grade's longest is aged by what is gone of the expiry. A single test holds it; deployments whose clients vary each try's time would need care.

--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -33,7 +33,6 @@
         return done();
     }
 
-    /** Over tells that the exchange has had its final answer, by this outcome or before. */
     public Turn forwardEnded(double now, Forward f, Outcome outcome, double took, boolean over,
             double[] report) {
         turn.clear();
@@ -51,7 +50,6 @@
         return done();
     }
 
-    /** Whole lists name every backend; a stale one is what was held before this proxy started. */
     public Turn backendsListed(double now, boolean whole, boolean stale, List<Listed> lines) {
         turn.clear();
         fleet.listed(whole, lines);
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -196,7 +196,6 @@
         }
     }
 
-    /** A suspended backend that has answered a probe is tried with one exchange. */
     void probed(int i, boolean answered, double now, Turn turn) {
         if (answered) {
             connected(i, now, turn);
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -1,18 +1,20 @@
 package lemondrift.decide;
 
+import java.util.Comparator;
 import java.util.PriorityQueue;
 import lemondrift.model.*;
 
 /** Rule 1: one final answer before expiry and nothing sent after it. */
 final class Expiry extends Stage {
     private final ServiceGrade[] grades;
+    private final double[] longest;
     private final boolean mayCancel;
     private final double longestRetryAfter;
-    private final PriorityQueue<Exchange> open =
-            new PriorityQueue<>((a, b) -> Double.compare(a.expiry, b.expiry));
+    private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
 
     Expiry(Settings s) {
         grades = s.grades().toArray(new ServiceGrade[0]);
+        longest = new double[grades.length];
         mayCancel = s.limits().cancel();
         longestRetryAfter = s.limits().retryAfter();
     }
@@ -21,7 +23,11 @@
     void take(Exchange x, double now, Turn turn) {
         ServiceGrade grade = grades[x.grade];
         double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
-        x.contract = Math.min(x.expiry, x.arrived + useful);
+        double left = x.expiry - now;
+        longest[x.grade] = Math.max(longest[x.grade], left);
+        // Danger: a try with less time left than others is a retry; work done after the first's time is lost.
+        double age = left < 0.99 * longest[x.grade] ? Math.max(0, grade.expiry() - left) : 0;
+        x.contract = Math.min(x.expiry, x.arrived + useful - age);
         open.add(x);
         again(x, now, turn);
     }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -13,7 +13,6 @@
     double[] started = {};
     /** The share of its full capacity that each has at the least; 1 is warm. */
     double[] coldShare = {};
-    /** Suspended ones, to be probed before they are tried. */
     boolean[] suspended = {};
     /** In good health, and with room in what it may be sent while cold. */
     boolean[] sound = {};
--- a/src/main/java/lemondrift/decide/Lists.java
+++ b/src/main/java/lemondrift/decide/Lists.java
@@ -15,7 +15,6 @@
         this.chance = chance;
     }
 
-    /** A list held from before a restart may be stale, so the changes are asked for at once. */
     void listed(boolean stale, double now) {
         askAt = onRequest && stale ? now : Double.POSITIVE_INFINITY;
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -253,7 +253,6 @@
         return at;
     }
 
-    /** A backend that started afresh is unreported again and starts at the mean. */
     void forget(int i) {
         reportedAt[i] = 0;
         sends[i] = 0;
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -210,6 +210,15 @@
         assertEquals(1, w.answers.size(), "nothing is owed to a client that left");
     }
 
+    @Test
+    void aRetryWhoseFirstTrysContractTimeIsOverIsShedAtOnce() {
+        World w = World.of(2);
+        assertNotNull(w.arrive(ONCE));
+        w.did(w.balancer.exchangeArrived(w.now, new Exchange(9, ONCE, 0, w.now, 0.9)));
+        assertEquals(1, w.sends.size());
+        assertTrue(w.answers.get(0).shed());
+    }
+
     @Test
     void aBegunStreamHasNoExpiry() {
         World w = World.of(1);
