--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -34,7 +34,7 @@
                 used[i] *= selection.faded(usedAt, now);
             }
             usedAt = now;
-            used[x.tenant] += x.forwards == 0 ? 1 / (Selection.MEMORY * selection.window) : 0;
+            used[x.tenant] += x.forwards == 0 ? 1 / selection.memory : 0;
             rank *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
         }
         eligibility.refresh(now);
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -6,7 +6,7 @@
 /** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
 final class Selection extends Stage {
     /** Rates and mean utilisations are taken over so many windows, the wait met lately over so many. */
-    static final double MEMORY = 8, MET = 2;
+    private static final double MEMORY = 8, MET = 2;
     /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
     private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time to the fleet's, and of that to a quick answer's time. */
@@ -15,8 +15,8 @@
     /** The share of all benefit that probes may cost. */
     private static final double PROBE_COST = 0.0025;
 
-    /** The window of the design page: the shortest contract time. */
-    final double window;
+    /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
+    final double window, memory;
     private final Fleet fleet;
     private final Chance chance;
     private final int balancers, here;
@@ -30,7 +30,7 @@
     private double metWait, metAt;
     /** Figures of the fleet, worked out anew before each use. */
     private double mean, serviceTime, ownRate;
-    /** How soon a report fades: one in an answer within a window, one by probe within a few probes. */
+    /** How soon a report fades: one in an answer over half a window, one by probe over two probes. */
     private double horizon;
 
     private double[] report = {}, reportedAt = {}, meanReport = {}, sends = {}, probeAt = {};
@@ -50,6 +50,7 @@
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
         window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
+        memory = MEMORY * window;
         quick = window / 16;
         horizon = window / 2;
     }
@@ -111,13 +112,12 @@
     }
 
     double faded(double since, double now) {
-        return since == 0 ? 0 : Math.exp((since - now) / (MEMORY * window));
+        return since == 0 ? 0 : Math.exp((since - now) / memory);
     }
 
     /** The fleet's mean, of the reports as far as they are trusted and a half, and its service time. */
     private void lookOver(double now) {
-        double sum = 0.5;
-        double weight = 1;
+        double sum = 0.5, weight = 1;
         double u = 0, all = 0, sent = 0;
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.ready[i]) {
@@ -137,7 +137,7 @@
 
     /** The utilisation one exchange adds at a backend; one send's evidence of the fleet's steadies it. */
     private double worth(int i, double now) {
-        double little = balancers / (MEMORY * window);
+        double little = balancers / memory;
         double s = (meanReport[i] * faded(reportedAt[i], now) + little * serviceTime)
                 / (rate[i] * faded(ratedAt[i], now) + little);
         return Math.max(serviceTime / SPREAD, Math.min(serviceTime * SPREAD, s)) * balancers / window
@@ -200,7 +200,7 @@
         sends[i]++;
         fleet.out[i]++;
         if (places.rate() < 0) {
-            rate[i] = rate[i] * faded(ratedAt[i], now) + balancers / (MEMORY * window);
+            rate[i] = rate[i] * faded(ratedAt[i], now) + balancers / memory;
             ratedAt[i] = now;
         }
     }
