Spread the first cold sends of many proxies by a random phase

Change: where one exchange takes longer than a fall window to earn, the first may go only at a random time within that, drawn at the told start. Property test with up to 500 instances; it fails without the change.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -30,9 +30,8 @@
     void offer(Exchange x, double now, Turn turn) {
         double rank = benefit[x.grade] / mostBenefit / (byWork ? 1 : eligibility.relativeWork(x.grade));
         if (x.tenant < quota.length) {
-            for (int i = 0; i < used.length; i++) {
-                used[i] *= selection.faded(usedAt, now);
-            }
+            double kept = selection.faded(usedAt, now);
+            Arrays.setAll(used, i -> used[i] * kept);
             usedAt = now;
             used[x.tenant] += x.forwards == 0 ? 1 / selection.memory : 0;
             rank *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -54,7 +54,7 @@
         turn.clear();
         fleet.listed(whole, lines);
         selection.listed(now);
-        eligibility.listed();
+        eligibility.listed(now);
         lists.listed(stale, now);
         lists.wake(now, turn);
         return done();
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -50,7 +50,7 @@
         coldBudget = s.rules().fallMultiple() * fallWindow / s.balancers();
     }
 
-    void listed() {
+    void listed(double now) {
         int known = score.length;
         score = Arrays.copyOf(score, fleet.size);
         suspension = Arrays.copyOf(suspension, fleet.size);
@@ -60,13 +60,16 @@
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
             if (i >= known || fleet.started[i] > startSeen[i]) {
-                startAfresh(i);
+                fleet.coldShare[i] = coldShare(i, now);
+                startAfresh(i, now);
             }
         }
     }
 
-    private void startAfresh(int i) {
+    private void startAfresh(int i, double now) {
         startSeen[i] = fleet.started[i];
+        // Danger: one exchange from each of hundreds of proxies at once spends a start's budget many times.
+        drainedAt[i] = now + chance.next() * Math.max(0, drain(i, 1) - fallWindow);
         score[i] = 0;
         suspension[i] = selection.window;
         suspendedUntil[i] = 0;
@@ -77,14 +80,20 @@
     /** Works out anew, for the stages that follow, who is how cold and who is sound. */
     void refresh(double now) {
         for (int i = 0; i < fleet.size; i++) {
-            double age = fleet.started[i] <= 0 ? 1 : Math.max(0, now - fleet.started[i]) / coldTime;
-            fleet.coldShare[i] = age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
-            suspendedUntil[i] = isDue(i, now) && !mayProbe ? TRIAL : suspendedUntil[i];
+            fleet.coldShare[i] = coldShare(i, now);
+            if (!mayProbe) {
+                tryWhenDue(i, now);
+            }
             fleet.suspended[i] = suspendedUntil[i] != 0;
             fleet.sound[i] = fleet.ready[i] && !fleet.suspended[i] && hasRoom(i, now);
         }
     }
 
+    private double coldShare(int i, double now) {
+        double age = fleet.started[i] <= 0 ? 1 : Math.max(0, now - fleet.started[i]) / coldTime;
+        return age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
+    }
+
     /** Rule 4: half of a window's budget may go out at once, the rest over it. Danger: a burst spends all. */
     private boolean hasRoom(int i, double now) {
         return fleet.coldShare[i] == 1 || drainedAt[i] <= now
@@ -96,6 +105,10 @@
         return meanTime() * exchanges * fallWindow / (coldBudget * fleet.coldShare[i] / 2);
     }
 
+    private void tryWhenDue(int i, double now) {
+        suspendedUntil[i] = suspendedUntil[i] > 0 && suspendedUntil[i] <= now ? TRIAL : suspendedUntil[i];
+    }
+
     private double meanTime() {
         return Arrays.stream(answerTime).average().orElse(0);
     }
@@ -138,7 +151,6 @@
                 unconnected[i] += outcome == Outcome.CONNECT_FAILED ? 1 : 0;
                 judge(i, true, now, turn);
             }
-            default -> { }
         }
         super.ended(f, outcome, took, now, turn);
     }
@@ -147,7 +159,8 @@
     private void connected(int i, double now, Turn turn) {
         if (unconnected[i] >= 2 && fleet.started[i] < now - coldTime) {
             fleet.started[i] = now;
-            startAfresh(i);
+            fleet.coldShare[i] = coldFrom;
+            startAfresh(i, now);
             turn.notes.add("backend " + i + " connects again, taken for cold");
         }
         unconnected[i] = 0;
@@ -172,10 +185,6 @@
         }
     }
 
-    private boolean isDue(int i, double now) {
-        return suspendedUntil[i] > 0 && suspendedUntil[i] <= now;
-    }
-
     private void suspend(int i, double now) {
         suspendedUntil[i] = now + chance.jitter(suspension[i]);
         suspension[i] = Math.min(coldTime, 2 * suspension[i]);
@@ -187,7 +196,7 @@
         for (int i = 0; i < fleet.size; i++) {
             count += fleet.ready[i] && suspendedUntil[i] != 0 ? 1 : 0;
         }
-        return count <= MOST_SUSPENDED * fleet.readyCount();
+        return count <= MOST_SUSPENDED * fleet.readyCount;
     }
 
     void probing(double now, Turn turn) {
@@ -199,7 +208,7 @@
     void probed(int i, boolean answered, double now, Turn turn) {
         if (answered) {
             connected(i, now, turn);
-            suspendedUntil[i] = isDue(i, now) ? TRIAL : suspendedUntil[i];
+            tryWhenDue(i, now);
         }
     }
 }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -6,7 +6,7 @@
 
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
-    int size;
+    int size, readyCount;
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
     /** When it last started, as told or as seen; 0 is long ago. */
@@ -23,12 +23,14 @@
     void listed(boolean whole, List<Listed> lines) {
         if (whole) {
             Arrays.fill(ready, false);
+            readyCount = 0;
         }
         for (Listed line : lines) {
             int i = line.backend();
             if (i >= size) {
                 grow(i + 1);
             }
+            readyCount += (line.state() == Listed.State.READY ? 1 : 0) - (ready[i] ? 1 : 0);
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
@@ -50,12 +52,4 @@
         first = Arrays.copyOf(first, wanted);
         size = wanted;
     }
-
-    int readyCount() {
-        int count = 0;
-        for (boolean each : ready) {
-            count += each ? 1 : 0;
-        }
-        return count;
-    }
 }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -21,7 +21,7 @@
     private final Chance chance;
     private final int balancers, here;
     private final Settings.Reports places;
-    private final boolean mayProbe, byProbe;
+    private final boolean mayProbe;
     private final double probeCharge, crossing, meanBenefit;
     private final double[] benefit;
     /** The lower quartile of answer times: three steps down balance one up. */
@@ -44,7 +44,6 @@
         here = s.location();
         places = s.reports();
         mayProbe = s.limits().probes();
-        byProbe = s.reports().byProbe();
         probeCharge = s.charges().probe();
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
@@ -222,7 +221,6 @@
                 overwrite(f.backend, Math.max(1, estimate(f.backend, now)), now);
                 waited(outcome == Outcome.FULL ? window : took, now);
             }
-            default -> { }
         }
         super.ended(f, outcome, took, now, turn);
     }
@@ -230,9 +228,9 @@
     /** Probes now and then, jittered, where reports come no other way, and those that are suspended. */
     void wake(double now, Turn turn) {
         lookOver(now);
-        double spare = PROBE_COST * Math.max(1 / window, ownRate);
-        double interval = Math.max(window / 2, probeCharge * fleet.readyCount() / spare);
-        horizon = byProbe ? 2 * interval : window / 2;
+        double interval = Math.max(window / 2,
+                probeCharge * fleet.readyCount / PROBE_COST / Math.max(1 / window, ownRate));
+        horizon = places.byProbe() ? 2 * interval : window / 2;
         for (int i = 0; i < fleet.size; i++) {
             if (isProbed(i) && probeAt[i] <= now) {
                 turn.probes.add(i);
@@ -242,7 +240,7 @@
     }
 
     private boolean isProbed(int i) {
-        return mayProbe && fleet.ready[i] && (byProbe || fleet.suspended[i]);
+        return mayProbe && fleet.ready[i] && (places.byProbe() || fleet.suspended[i]);
     }
 
     double wakeAt() {
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -230,7 +230,7 @@
 
     @Test
     void theListIsFollowedAndAskedForAgain() {
-        World w = new World(World.settings(true, World.PROBES, true));
+        World w = new World(World.settings(3, true, World.PROBES, true), 7);
         w.list(true, true, World.lines(3));
         assertEquals(List.of(Turn.ListCall.WATCH), w.listCalls);
         w.did(w.balancer.listFailed(w.now));
--- a/src/test/java/lemondrift/RulesTest.java
+++ b/src/test/java/lemondrift/RulesTest.java
@@ -31,7 +31,8 @@
     void theModuleKeepsTheRules(@ForAll long seed, @ForAll @IntRange(min = 1, max = 7) int backends,
             @ForAll boolean byProbe, @ForAll @IntRange(min = 1, max = 40) int pace) {
         Random chance = new Random(seed);
-        w = new World(World.settings(chance.nextBoolean(), byProbe ? World.PROBES : World.ANSWERS, byProbe));
+        w = new World(World.settings(3, chance.nextBoolean(), byProbe ? World.PROBES : World.ANSWERS,
+                byProbe), 7);
         w.watcher = this::check;
         List.of(made, outcomes, answered, told).forEach(Map::clear);
         open.clear();
@@ -47,6 +48,32 @@
         made.keySet().forEach(x -> assertEquals(1, answered.getOrDefault(x, 0), "one final answer each"));
     }
 
+    /** Hundreds of proxies, told of one start at once, share its budget; each keeps only its own part. */
+    @Property(tries = 12, seed = "20261201")
+    void manyProxiesTogetherPushNoColdBackendOver(@ForAll @IntRange(min = 2, max = 500) int proxies,
+            @ForAll @IntRange(min = 1, max = 4) int aSecond) {
+        List<Double> sent = new ArrayList<>();
+        for (int i = 0; i < proxies; i++) {
+            World each = new World(World.settings(proxies, false, World.ANSWERS, true), i);
+            each.list(true, i % 2 == 0, List.of(World.line(0, Listed.State.READY, each.now)));
+            for (double at = 0.5 / aSecond; at < 6; at += 1.0 / aSecond) {
+                each.wakeUntil(100 + at);
+                Forward f = each.arrive(0);
+                if (f != null) {
+                    sent.add(at);
+                    each.end(f, Outcome.DELIVERED, 0, 0);
+                }
+            }
+        }
+        for (double from = 0; from < 4; from += 0.25) {
+            double start = from, end = from + World.RULES.fallWindow();
+            long count = sent.stream().filter(at -> at >= start && at < end).count();
+            double share = World.RULES.coldFrom() + (1 - World.RULES.coldFrom()) * from / World.RULES.cold();
+            double bearable = World.RULES.fallMultiple() * share * World.RULES.fallWindow();
+            assertTrue(count * WORK <= bearable + WORK, count + " from " + from);
+        }
+    }
+
     private void event(Random chance, int backends) {
         int kind = chance.nextInt(20);
         if (kind < 9) {
--- a/src/test/java/lemondrift/World.java
+++ b/src/test/java/lemondrift/World.java
@@ -29,19 +29,20 @@
     double wakeAt;
     Consumer<Turn> watcher = turn -> { };
 
-    World(Settings settings) {
-        balancer = new Balancer(settings, 7);
+    World(Settings settings, long seed) {
+        balancer = new Balancer(settings, seed);
     }
 
     static World of(int backends) {
-        World world = new World(settings(false, ANSWERS, true));
+        World world = new World(settings(3, false, ANSWERS, true), 7);
         world.list(true, false, lines(backends));
         return world;
     }
 
-    static Settings settings(boolean onRequest, Settings.Reports reports, boolean mayProbe) {
-        return new Settings(3, 0, onRequest, List.of(PURE, MARKED, ONCE, CELLS), new double[0], 1, false,
-                reports, new Settings.Limits(true, mayProbe, false, 4, 0.5), RULES,
+    static Settings settings(int balancers, boolean onRequest, Settings.Reports reports,
+            boolean mayProbe) {
+        return new Settings(balancers, 0, onRequest, List.of(PURE, MARKED, ONCE, CELLS), new double[0], 1,
+                false, reports, new Settings.Limits(true, mayProbe, false, 4, 0.5), RULES,
                 new Settings.Charges(0.1, 0.002));
     }
 
