Use a drawn part of the fleet and renew its reports before each pick

Cause: with hundreds of proxies each hears from a backend about once a minute, so its reports are worth nothing, and balancer count times own sends is no sample of all sends. Utilisation is an average besides: of the backends picked at 0.6 half were busy (88% in time against 97% where none was held). Change: a part of the fleet, drawn at random, one exchanged from time to time; the least estimated of it are asked for reports before a pick; exchanges that a report says are held count by their worth; worth of one window at most; service time from quick answers where reports carry no rate; reports fade in an eighth of a window; the module's chance mixes its counter, whose checksums came in patterns.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -1,6 +1,7 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
+import java.util.stream.Stream;
 import lemondrift.model.*;
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
@@ -8,39 +9,38 @@
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
     private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
-    private final Eligibility eligibility;
     private final Selection selection;
-    private final double[] benefit, quota, used;
+    private final Estimate estimate;
+    private final double[] benefit, quota;
+    private final Faded[] used;
     private final double excessBenefit, mostBenefit;
-    private final boolean byWork;
-    private double usedAt;
 
-    Admission(Settings s, Eligibility eligibility, Selection selection) {
-        this.eligibility = eligibility;
+    Admission(Settings s, Estimate estimate, Selection selection) {
+        this.estimate = estimate;
         this.selection = selection;
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         mostBenefit = Arrays.stream(benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
-        used = new double[quota.length];
-        byWork = s.benefitByWork();
+        used = Stream.generate(() -> new Faded(estimate.memory)).limit(quota.length).toArray(Faded[]::new);
         excessBenefit = s.excessBenefit();
     }
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        double rank = benefit[x.grade] / mostBenefit / (byWork ? 1 : eligibility.relativeWork(x.grade));
+        if (selection.asks(x, now, turn)) {
+            return;
+        }
+        double rank = benefit[x.grade] / mostBenefit;
         if (x.tenant < quota.length) {
-            double kept = selection.faded(usedAt, now);
-            Arrays.setAll(used, i -> used[i] * kept);
-            usedAt = now;
-            used[x.tenant] += x.forwards == 0 ? 1 / selection.memory : 0;
-            rank *= used[x.tenant] > quota[x.tenant] ? excessBenefit : 1;
+            used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
+            rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
-        eligibility.refresh(now);
-        double wait = selection.expectedWait(now);
+        double wait = selection.expectedWait(x, now);
         double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank)) * (x.contract - now);
-        if (wait > limit) {
-            giveUp(x, wait, now, turn);
+        if (wait > limit && selection.drawsOthers(x, now)) {
+            offer(x, now, turn);
+        } else if (wait > limit) {
+            giveUp(x, Math.min(wait, estimate.window), now, turn);
         } else {
             super.offer(x, now, turn);
         }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -11,7 +11,8 @@
  */
 public final class Balancer {
     private final Turn turn = new Turn();
-    private final Fleet fleet = new Fleet();
+    private final Fleet fleet;
+    private final Estimate estimate;
     private final Expiry expiry;
     private final Eligibility eligibility;
     private final Selection selection;
@@ -20,75 +21,68 @@
     public Balancer(Settings settings, long seed) {
         Chance chance = new Chance(seed);
         expiry = new Expiry(settings);
-        selection = new Selection(settings, fleet, chance);
-        eligibility = new Eligibility(settings, fleet, selection, chance);
+        fleet = new Fleet(settings, chance);
+        estimate = new Estimate(settings, fleet);
+        eligibility = new Eligibility(settings, fleet, estimate, chance);
+        selection = new Selection(settings, fleet, estimate, chance);
         lists = new Lists(settings, chance);
-        expiry.then(new Admission(settings, eligibility, selection)).then(new Repeats(settings, fleet))
+        expiry.then(new Admission(settings, estimate, selection)).then(new Repeats(settings, fleet))
                 .then(eligibility).then(selection);
     }
 
     public Turn exchangeArrived(double now, Exchange x) {
-        turn.clear();
-        expiry.take(x, now, turn);
-        return done();
+        return turn(now, () -> expiry.take(x, now, turn));
     }
 
     public Turn forwardEnded(double now, Forward f, Outcome outcome, double took, boolean over,
             double[] report) {
-        turn.clear();
         f.ended = true;
         f.exchange.out--;
         f.exchange.over |= over;
-        selection.reported(f.backend, report, outcome == Outcome.DELIVERED, now);
-        selection.ended(f, outcome, took, now, turn);
-        return done();
+        estimate.reported(f.backend, report, outcome == Outcome.DELIVERED, now);
+        return turn(now, () -> selection.ended(f, outcome, took, now, turn));
     }
 
     public Turn answerBegun(double now, Forward f) {
-        turn.clear();
-        f.exchange.begun = true;
-        return done();
+        return turn(now, () -> f.exchange.begun = true);
     }
 
     public Turn backendsListed(double now, boolean whole, boolean stale, List<Listed> lines) {
-        turn.clear();
         fleet.listed(whole, lines);
-        selection.listed(now);
+        estimate.listed();
+        selection.listed();
         eligibility.listed(now);
         lists.listed(stale, now);
-        lists.wake(now, turn);
-        return done();
+        return wake(now);
     }
 
     public Turn listFailed(double now) {
-        turn.clear();
-        lists.failed(now, turn);
-        return done();
+        return turn(now, () -> lists.failed(now, turn));
     }
 
-    public Turn probeAnswered(double now, int backend, boolean answered, double[] report) {
-        turn.clear();
-        selection.reported(backend, report, answered, now);
-        eligibility.probed(backend, answered, now, turn);
-        return done();
+    public Turn probeEnded(double now, int backend, Outcome outcome, double[] report) {
+        selection.probed(backend);
+        return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, now));
     }
 
     public Turn clientLeft(double now, Exchange x) {
-        turn.clear();
-        expiry.clientLeft(x, turn);
-        return done();
+        return turn(now, () -> expiry.clientLeft(x, turn));
     }
 
     public Turn wake(double now) {
-        turn.clear();
-        expiry.wake(now, turn);
-        selection.wake(now, turn);
-        eligibility.probing(now, turn);
-        lists.wake(now, turn);
-        return done();
+        return turn(now, () -> {
+            expiry.wake(now, turn);
+            lists.wake(now, turn);
+        });
     }
 
-    private Turn done() {
+    private Turn turn(double now, Runnable event) {
+        turn.clear();
+        event.run();
+        for (Exchange x = selection.released(now); x != null; x = selection.released(now)) {
+            expiry.again(x, now, turn);
+        }
+        eligibility.probing(now, turn);
         turn.wakeAt = Math.min(expiry.wakeAt(), Math.min(lists.askAt, selection.wakeAt()));
         return turn;
     }
--- a/src/main/java/lemondrift/decide/Chance.java
+++ b/src/main/java/lemondrift/decide/Chance.java
@@ -5,6 +5,9 @@
 
 /** All chance: a checksum over the instance's seed and a counter; the same events give the same acts. */
 final class Chance {
+    /** Danger: checksums of successive numbers differ alike each time, so draws would repeat a pattern. */
+    private static final long SPREAD = 0x9E3779B97F4A7C15L;
+
     private final long seed;
     private long counter;
 
@@ -14,7 +17,7 @@
 
     double next() {
         CRC32 crc = new CRC32();
-        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(seed).putLong(++counter).flip());
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(seed).putLong(++counter * SPREAD).flip());
         return crc.getValue() / 0x1p32;
     }
 
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -0,0 +1,146 @@
+package lemondrift.decide;
+
+import java.util.Arrays;
+import lemondrift.model.*;
+
+/** The design's figure: a backend's last report plus own sends since times one exchange's worth. */
+final class Estimate {
+    /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
+    private static final double MEMORY = 8, MET = 2, FADE = 0.125;
+    /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
+    private static final double SATURATED = 0.9;
+    /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
+    private static final double SPREAD = 2, STEP = 0.02;
+
+    /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
+    final double window, memory;
+    private final double horizon;
+    final Settings.Reports places;
+    private final Fleet fleet;
+    private final int balancers;
+    /** The lower quartile of answer times: three steps down balance one up; and how many there were. */
+    private double quick, answers;
+    /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
+    final Faded ownRate, metWait;
+    private final Faded heard, heards;
+
+    private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
+
+    Estimate(Settings s, Fleet fleet) {
+        this.fleet = fleet;
+        balancers = s.balancers();
+        places = s.reports();
+        window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
+        memory = MEMORY * window;
+        horizon = FADE * window;
+        quick = window / 16;
+        ownRate = new Faded(memory);
+        metWait = new Faded(memory);
+        heard = new Faded(horizon);
+        heards = new Faded(horizon);
+    }
+
+    void listed() {
+        report = Arrays.copyOf(report, fleet.size);
+        reportedAt = Arrays.copyOf(reportedAt, fleet.size);
+        sends = Arrays.copyOf(sends, fleet.size);
+        rated = Arrays.copyOf(rated, fleet.size);
+    }
+
+    /** A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. */
+    void reported(int i, double[] figures, boolean delivered, double now) {
+        if (figures == null || !(figure(figures, places.utilisation(), -1) >= 0)) {
+            return;
+        }
+        double u = figure(figures, places.utilisation(), 0);
+        rated[i] = u / figure(figures, places.rate(), 0);
+        double told = u + figure(figures, places.held(), 0) * worth(i, now);
+        // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
+        overwrite(i, delivered ? told : Math.max(told, mean(now)), now);
+        heard.add(told, now);
+        heards.add(1, now);
+    }
+
+    private static double figure(double[] figures, int place, double otherwise) {
+        return place >= 0 && place < figures.length ? figures[place] : otherwise;
+    }
+
+    private void overwrite(int i, double estimate, double now) {
+        report[i] = estimate;
+        reportedAt[i] = now;
+        sends[i] = 0;
+    }
+
+    /** The mean of the reports heard lately and a half. */
+    private double mean(double now) {
+        return (0.5 + heard.at(now)) / (1 + heards.at(now));
+    }
+
+    /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
+    private void waited(double wait, double now) {
+        metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
+    }
+
+    /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
+    double wait(int i, double now) {
+        return Math.max(0, of(i, now) - 1) / worth(i, now) * serviceTime(i, now);
+    }
+
+    /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
+    private double serviceTime(int i, double now) {
+        double s = rated[i] > 0 && rated[i] < window ? rated[i] : quick;
+        return Math.max(quick / SPREAD, Math.min(quick * SPREAD, s)) / fleet.coldShare(i, now);
+    }
+
+    /** The utilisation that one exchange adds if the others send alike; no more than a whole window's. */
+    private double worth(int i, double now) {
+        return Math.min(1, quick * balancers / window) * serviceTime(i, now) / quick;
+    }
+
+    double trust(int i, double now) {
+        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
+    }
+
+    double age(int i, double now) {
+        return reportedAt[i] == 0 ? Double.POSITIVE_INFINITY : now - reportedAt[i];
+    }
+
+    /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
+    double of(int i, double now) {
+        double trust = trust(i, now), mean = mean(now);
+        double base = mean + trust * (report[i] - mean);
+        double told = report[i] >= SATURATED && places.held() < 0 ? 0 : trust;
+        double own = told * sends[i] + (1 - told) * fleet.out[i];
+        // Danger: a cold backend reports near nothing and draws more than it can bear.
+        return (fleet.coldShare(i, now) < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
+    }
+
+    void sent(int i, double now) {
+        sends[i]++;
+        fleet.out[i]++;
+        ownRate.add(1 / memory, now);
+    }
+
+    void ended(Forward f, Outcome outcome, double took, double now) {
+        int i = f.backend;
+        fleet.out[i]--;
+        switch (outcome) {
+            case DELIVERED -> {
+                double step = Math.max(STEP, 1 / (4 + answers++));
+                quick = answers == 1 ? Math.max(took, window / 1000)
+                        : quick * (took < quick ? 1 - 3 * step : 1 + step);
+                waited(places.inAnswers() ? wait(i, now) : Math.max(0, took - quick), now);
+            }
+            case TIMED_OUT, CONNECT_FAILED, FULL -> {
+                // Danger: a backend that answers nothing reports nothing, and looks as idle as it last was.
+                overwrite(i, Math.max(1, of(i, now)), now);
+                waited(outcome == Outcome.FULL ? window : took, now);
+            }
+        }
+    }
+
+    void forget(int i) {
+        reportedAt[i] = 0;
+        sends[i] = 0;
+    }
+}
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -32,8 +32,8 @@
         again(x, now, turn);
     }
 
-    private void again(Exchange x, double now, Turn turn) {
-        if (now < x.contract) {
+    void again(Exchange x, double now, Turn turn) {
+        if (!x.over && now < x.contract) {
             offer(x, now, turn);
         } else {
             giveUp(x, 0, now, turn);
@@ -42,9 +42,8 @@
 
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
-        Exchange x = f.exchange;
-        if (!x.over && x.out == 0) {
-            again(x, now, turn);
+        if (f.exchange.out == 0) {
+            again(f.exchange, now, turn);
         }
     }
 
--- /dev/null
+++ b/src/main/java/lemondrift/decide/Faded.java
@@ -0,0 +1,20 @@
+package lemondrift.decide;
+
+/** A sum that fades away over a span of time. */
+final class Faded {
+    private final double span;
+    private double sum, at;
+
+    Faded(double span) {
+        this.span = span;
+    }
+
+    double at(double now) {
+        return sum == 0 ? 0 : sum * Math.exp((at - now) / span);
+    }
+
+    void add(double more, double now) {
+        sum = at(now) + more;
+        at = now;
+    }
+}
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -2,40 +2,54 @@
 
 import java.util.Arrays;
 import java.util.List;
-import lemondrift.model.Listed;
+import java.util.stream.IntStream;
+import lemondrift.model.*;
 
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
-    int size, readyCount;
+    private final double coldFrom, coldTime;
+    private final Chance chance;
+    int size;
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
     /** When it last started, as told or as seen; 0 is long ago. */
     double[] started = {};
-    /** The share of its full capacity that each has at the least; 1 is warm. */
-    double[] coldShare = {};
-    boolean[] suspended = {};
-    /** In good health, and with room in what it may be sent while cold. */
-    boolean[] sound = {};
-    /** Backends that may take the exchange in hand, each stage striking out some, and which come first. */
-    boolean[] candidate = {}, first = {};
+    /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
+    int[] order = {};
+
+    Fleet(Settings s, Chance chance) {
+        coldFrom = s.rules().coldFrom();
+        coldTime = s.rules().cold();
+        this.chance = chance;
+    }
 
     /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
     void listed(boolean whole, List<Listed> lines) {
         if (whole) {
             Arrays.fill(ready, false);
-            readyCount = 0;
         }
         for (Listed line : lines) {
             int i = line.backend();
             if (i >= size) {
                 grow(i + 1);
             }
-            readyCount += (line.state() == Listed.State.READY ? 1 : 0) - (ready[i] ? 1 : 0);
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
             started[i] = Math.max(started[i], line.started());
         }
+        int kept = (int) Arrays.stream(order).filter(i -> ready[i]).count();
+        order = IntStream.concat(Arrays.stream(order), IntStream.range(0, size)).filter(i -> ready[i])
+                .distinct().toArray();
+        for (int j = kept; j < order.length; j++) {
+            swap(j, (int) (chance.next() * (j + 1)));
+        }
+    }
+
+    void swap(int a, int b) {
+        int i = order[a];
+        order[a] = order[b];
+        order[b] = i;
     }
 
     private void grow(int wanted) {
@@ -44,12 +58,12 @@
         cell = Arrays.copyOf(cell, wanted);
         started = Arrays.copyOf(started, wanted);
         out = Arrays.copyOf(out, wanted);
-        coldShare = Arrays.copyOf(coldShare, wanted);
-        Arrays.fill(coldShare, size, wanted, 1);
-        suspended = Arrays.copyOf(suspended, wanted);
-        sound = Arrays.copyOf(sound, wanted);
-        candidate = Arrays.copyOf(candidate, wanted);
-        first = Arrays.copyOf(first, wanted);
         size = wanted;
     }
+
+    /** The share of its full capacity that a backend has at the least; 1 is warm. */
+    double coldShare(int i, double now) {
+        double age = started[i] <= 0 ? 1 : Math.max(0, now - started[i]) / coldTime;
+        return age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
+    }
 }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -27,30 +27,32 @@
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        ServiceGrade grade = grades[x.grade];
         boolean repeat = x.forwards > 0;
-        boolean harmless = x.mayHaveRun == null || grade.effect() == Effect.PURE;
-        // Danger: receipts are forgotten after a while, counted from the first send that may have run.
-        boolean marked = grade.effect() == Effect.RECEIPTED
-                && (harmless || now - x.mayHaveRun.sent < grade.receiptMemory());
-        if (repeat && (x.forwards >= mostForwards || credit < 1 || !harmless && !marked)) {
+        if (repeat && (x.forwards >= mostForwards || credit < 1)) {
             giveUp(x, 0, now, turn);
             return;
         }
         credit = repeat ? credit - 1 : Math.min(mostForwards, credit + RETRY_SHARE);
-        for (int i = 0; i < fleet.size; i++) {
-            fleet.candidate[i] = fleet.ready[i]
-                    && (harmless || sameGroup(grade.group(), x.mayHaveRun.backend, i));
-        }
+        super.offer(x, now, turn);
+    }
+
+    @Override
+    boolean mayTake(Exchange x, int i, double now) {
         for (Forward f = x.latest; f != null; f = f.earlier) {
-            fleet.candidate[f.backend] = false;
+            if (f.backend == i) {
+                return false;
+            }
         }
-        super.offer(x, now, turn);
+        return (x.mayHaveRun == null || mayRepeat(grades[x.grade], x.mayHaveRun, i, now))
+                && super.mayTake(x, i, now);
     }
 
-    private boolean sameGroup(Group group, int a, int b) {
-        return group == Group.ALL || fleet.location[a] == fleet.location[b]
-                && (group == Group.LOCATION || fleet.cell[a] == fleet.cell[b]);
+    private boolean mayRepeat(ServiceGrade grade, Forward ran, int i, double now) {
+        // Danger: receipts are forgotten after a while, counted from the first send that may have run.
+        return grade.effect() == Effect.PURE || grade.effect() == Effect.RECEIPTED
+                && now - ran.sent < grade.receiptMemory() && (grade.group() == Group.ALL
+                || fleet.location[ran.backend] == fleet.location[i]
+                && (grade.group() == Group.LOCATION || fleet.cell[ran.backend] == fleet.cell[i]));
     }
 
     @Override
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -1,258 +1,173 @@
 package lemondrift.decide;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import lemondrift.model.*;
 
-/** The design: the least estimated utilisation, the last report plus own sends since times one's worth. */
+/** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
-    /** Rates and mean utilisations are taken over so many windows, the wait met lately over so many. */
-    private static final double MEMORY = 8, MET = 2;
-    /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
-    private static final double SATURATED = 0.9;
-    /** Floor and cap of a backend's service time to the fleet's, and of that to a quick answer's time. */
-    private static final double SPREAD = 2;
-    private static final double STEP = 0.02;
-    /** The share of all benefit that probes may cost. */
-    private static final double PROBE_COST = 0.0025;
+    /** How many are asked for reports at a time, and how often for one exchange. */
+    private static final int ASKED = 3, ROUNDS = 4;
+    /** A report is fresh for this share of the window, and an answer awaited for this share. */
+    private static final double FRESH = 1.0 / 16, PATIENCE = 1.0 / 32;
 
-    /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
-    final double window, memory;
     private final Fleet fleet;
+    private final Estimate estimate;
     private final Chance chance;
-    private final int balancers, here;
-    private final Settings.Reports places;
+    private final int here, asked, rounds;
     private final boolean mayProbe;
-    private final double probeCharge, crossing, meanBenefit;
+    private final double crossing, meanBenefit, fresh, patience;
     private final double[] benefit;
-    /** The lower quartile of answer times: three steps down balance one up. */
-    private double quick;
-    /** The mean wait met lately, and when it was met. */
-    private double metWait, metAt;
-    /** Figures of the fleet, worked out anew before each use. */
-    private double mean, serviceTime, ownRate;
-    /** How soon a report fades: one in an answer over half a window, one by probe over two probes. */
-    private double horizon;
+    private final Deque<Exchange> kept = new ArrayDeque<>();
+    private double swapAt;
+    /** When a probe that is still out was sent, 0 if there is none, and the figure last ranked by. */
+    private double[] askedAt = {}, figure = {};
 
-    private double[] report = {}, reportedAt = {}, meanReport = {}, sends = {}, probeAt = {};
-    /** Exchanges a second that a backend is sent by all proxies, and when that was worked out. */
-    private double[] rate = {}, ratedAt = {};
-
-    Selection(Settings s, Fleet fleet, Chance chance) {
+    Selection(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
+        this.estimate = estimate;
         this.chance = chance;
-        balancers = s.balancers();
         here = s.location();
-        places = s.reports();
+        asked = estimate.places.held() < 0 ? 1 : ASKED;
+        rounds = estimate.places.held() < 0 ? 1 : ROUNDS;
         mayProbe = s.limits().probes();
-        probeCharge = s.charges().probe();
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
-        window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
-        memory = MEMORY * window;
-        quick = window / 16;
-        horizon = window / 2;
-    }
-
-    void listed(double now) {
-        int known = report.length;
-        report = Arrays.copyOf(report, fleet.size);
-        reportedAt = Arrays.copyOf(reportedAt, fleet.size);
-        meanReport = Arrays.copyOf(meanReport, fleet.size);
-        sends = Arrays.copyOf(sends, fleet.size);
-        rate = Arrays.copyOf(rate, fleet.size);
-        ratedAt = Arrays.copyOf(ratedAt, fleet.size);
-        probeAt = Arrays.copyOf(probeAt, fleet.size);
-        for (int i = known; i < fleet.size; i++) {
-            probeAt[i] = now + chance.next() * window / 2;
-        }
-    }
-
-    /** A report overwrites the estimate and clears the sends; exchanges that wait add their worth to it. */
-    void reported(int i, double[] figures, boolean delivered, double now) {
-        if (figures == null || !(figure(figures, places.utilisation(), -1) >= 0)) {
-            return;
-        }
-        lookOver(now);
-        double u = figure(figures, places.utilisation(), 0);
-        meanReport[i] = u + faded(reportedAt[i], now) * (meanReport[i] - u);
-        if (places.rate() >= 0) {
-            rate[i] = figure(figures, places.rate(), 0);
-            ratedAt[i] = now;
-        }
-        double waiting = figure(figures, places.queue(), 0);
-        // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        overwrite(i, (delivered ? u : Math.max(u, mean)) + waiting * worth(i, now), now);
-        if (places.inAnswers()) {
-            waited(wait(estimate(i, now)), now);
-        }
-    }
-
-    private static double figure(double[] figures, int place, double otherwise) {
-        return place >= 0 && place < figures.length ? figures[place] : otherwise;
+        fresh = FRESH * estimate.window;
+        patience = PATIENCE * estimate.window;
     }
 
-    private void overwrite(int i, double estimate, double now) {
-        report[i] = estimate;
-        reportedAt[i] = now;
-        sends[i] = 0;
+    void listed() {
+        askedAt = Arrays.copyOf(askedAt, fleet.size);
+        figure = Arrays.copyOf(figure, fleet.size);
     }
 
-    /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
-    private void waited(double wait, double now) {
-        double met = metWait * faded(metAt, now);
-        metWait = met + (wait - met) / Math.max(4, MET * window * ownRate);
-        metAt = now;
+    /** How many backends this proxy hears from often enough to know them; all of them in a small fleet. */
+    private int part(double now) {
+        double heard = estimate.ownRate.at(now) * estimate.memory;
+        return (int) Math.min(fleet.order.length, Math.max(ROUNDS * ASKED, heard));
     }
 
-    /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
-    private double wait(double estimate) {
-        return Math.max(0, estimate - 1) * window / balancers;
+    /** Exchanges one of the part from time to time, and at once whoever can't be used. */
+    private void renew(Exchange x, double now) {
+        int part = part(now), rest = fleet.order.length - part, leaving = -1;
+        if (now >= swapAt) {
+            swapAt = now + chance.jitter(estimate.memory);
+            leaving = (int) (chance.next() * part);
+        }
+        for (int j = 0; j < part && rest > 0; j++) {
+            if (j == leaving || !mayTake(x, fleet.order[j], now)) {
+                fleet.swap(j, part + (int) (chance.next() * rest));
+            }
+        }
     }
 
-    double faded(double since, double now) {
-        return since == 0 ? 0 : Math.exp((since - now) / memory);
+    /** Danger: one that leaves a probe unanswered looks as idle as it last was. */
+    @Override
+    boolean mayTake(Exchange x, int i, double now) {
+        return (askedAt[i] == 0 || now - askedAt[i] < patience) && super.mayTake(x, i, now);
     }
 
-    /** The fleet's mean, of the reports as far as they are trusted and a half, and its service time. */
-    private void lookOver(double now) {
-        double sum = 0.5, weight = 1;
-        double u = 0, all = 0, sent = 0;
-        for (int i = 0; i < fleet.size; i++) {
-            if (fleet.ready[i]) {
-                sum += report[i] * trust(i, now);
-                weight += trust(i, now);
-                u += meanReport[i] * faded(reportedAt[i], now);
-                all += rate[i] * faded(ratedAt[i], now);
-                sent += reportedAt[i] > 0 ? rate[i] * faded(ratedAt[i], now) : 0;
+    /** Ranks the part by estimate and, beyond it, crossing's charge as a share of the exchange's benefit. */
+    private void rank(Exchange x, int part, double now) {
+        double cross = crossing * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
+        int[] order = fleet.order;
+        for (int j = 0; j < part; j++) {
+            int i = order[j], at = j;
+            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
+                    + (fleet.location[i] == here ? 0 : cross) + 1e-6 * chance.next();
+            for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
+                order[at] = order[at - 1];
             }
+            order[at] = i;
         }
-        mean = sum / weight;
-        ownRate = all / balancers;
-        // Danger: sends that stop while reports stay high make every exchange look too long, all are shed,
-        // and no send ever comes to correct it; so a quick answer's time is the cap.
-        serviceTime = sent > 0 ? Math.max(quick / SPREAD, Math.min(quick * SPREAD, u / sent)) : quick;
-    }
-
-    /** The utilisation one exchange adds at a backend; one send's evidence of the fleet's steadies it. */
-    private double worth(int i, double now) {
-        double little = balancers / memory;
-        double s = (meanReport[i] * faded(reportedAt[i], now) + little * serviceTime)
-                / (rate[i] * faded(ratedAt[i], now) + little);
-        return Math.max(serviceTime / SPREAD, Math.min(serviceTime * SPREAD, s)) * balancers / window
-                / fleet.coldShare[i];
+        x.best = part == 0 || figure[order[0]] == Double.POSITIVE_INFINITY ? -1 : order[0];
     }
 
-    private double trust(int i, double now) {
-        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
+    /** Asks the least estimated for reports and keeps the exchange, until the least estimated is fresh. */
+    boolean asks(Exchange x, double now, Turn turn) {
+        if (x.asks == 0) {
+            renew(x, now);
+        }
+        int part = part(now);
+        rank(x, part, now);
+        if (!mayProbe || x.asks >= rounds || x.best < 0 || isFresh(x.best, now)) {
+            return false;
+        }
+        x.asks++;
+        x.asked = Arrays.copyOf(fleet.order, Math.min(asked, part));
+        for (int i : x.asked) {
+            if (askedAt[i] == 0 && !isFresh(i, now) && mayTake(x, i, now)) {
+                askedAt[i] = now;
+                turn.probes.add(i);
+            }
+        }
+        x.keptUntil = now + patience;
+        return kept.add(x);
     }
 
-    /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
-    private double estimate(int i, double now) {
-        double trust = trust(i, now);
-        double base = mean + trust * (report[i] - mean);
-        double told = report[i] >= SATURATED && places.queue() < 0 ? 0 : trust;
-        double own = told * sends[i] + (1 - told) * fleet.out[i];
-        // Danger: a cold backend reports near nothing and draws more than it can bear.
-        return (fleet.coldShare[i] < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
+    private boolean isFresh(int i, double now) {
+        return estimate.age(i, now) <= fresh;
     }
 
-    /** The wait to expect: at the least loaded sound backend, or as met lately where that is longer. */
-    double expectedWait(double now) {
-        lookOver(now);
-        double least = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < fleet.size; i++) {
-            least = fleet.sound[i] ? Math.min(least, estimate(i, now)) : least;
+    /** Danger: a part of which none can take the exchange would shed what others in the fleet could take. */
+    boolean drawsOthers(Exchange x, double now) {
+        int part = part(now), found = 0;
+        for (int j = part; j < fleet.order.length && found < part && x.draws == 0; j++) {
+            fleet.swap(j, j + (int) (chance.next() * (fleet.order.length - j)));
+            if (mayTake(x, fleet.order[j], now)) {
+                fleet.swap(found++, j);
+            }
         }
-        return Math.max(metWait * faded(metAt, now), wait(least));
+        x.draws++;
+        x.asks = 0;
+        return found > 0;
     }
 
-    /** Picks among the candidates. Crossing adds its charge, as a share of this exchange's benefit. */
-    private int pick(Exchange x, double now) {
-        double cross = crossing * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
-        double least = Double.POSITIVE_INFINITY;
-        int pick = -1;
-        for (int i = 0; i < fleet.size; i++) {
-            if (fleet.candidate[i]) {
-                double e = fleet.first[i] ? -1 : estimate(i, now)
-                        + (fleet.location[i] == here ? 0 : cross) + 1e-6 * chance.next();
-                if (e < least) {
-                    least = e;
-                    pick = i;
-                }
-            }
+    /** The wait to expect: at the least loaded backend, and as met lately as far as that is not known. */
+    double expectedWait(Exchange x, double now) {
+        if (x.best < 0) {
+            return Double.POSITIVE_INFINITY;
         }
-        return pick;
+        double doubt = estimate.places.held() < 0 ? 1 : 1 - estimate.trust(x.best, now);
+        return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        int i = pick(x, now);
-        if (i < 0) {
-            giveUp(x, window, now, turn);
-            return;
-        }
-        x.latest = new Forward(x, i, now, x.contract - now);
+        x.latest = new Forward(x, x.best, now, x.contract - now);
         x.forwards++;
         x.out++;
+        x.asks = 0;
+        x.draws = 0;
         turn.sends.add(x.latest);
-        sends[i]++;
-        fleet.out[i]++;
-        if (places.rate() < 0) {
-            rate[i] = rate[i] * faded(ratedAt[i], now) + balancers / memory;
-            ratedAt[i] = now;
-        }
+        estimate.sent(x.best, now);
     }
 
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
-        fleet.out[f.backend]--;
-        switch (outcome) {
-            case DELIVERED -> {
-                quick *= took < quick ? 1 - 3 * STEP : 1 + STEP;
-                // Danger: probes outnumber answers and see little waiting; only what exchanges met counts.
-                if (!places.inAnswers()) {
-                    waited(Math.max(0, took - quick), now);
-                }
-            }
-            case TIMED_OUT, CONNECT_FAILED, FULL -> {
-                // Danger: a backend that answers nothing reports nothing, and looks as idle as it last was.
-                lookOver(now);
-                overwrite(f.backend, Math.max(1, estimate(f.backend, now)), now);
-                waited(outcome == Outcome.FULL ? window : took, now);
-            }
-        }
+        estimate.ended(f, outcome, took, now);
         super.ended(f, outcome, took, now, turn);
     }
 
-    /** Probes now and then, jittered, where reports come no other way, and those that are suspended. */
-    void wake(double now, Turn turn) {
-        lookOver(now);
-        double interval = Math.max(window / 2,
-                probeCharge * fleet.readyCount / PROBE_COST / Math.max(1 / window, ownRate));
-        horizon = places.byProbe() ? 2 * interval : window / 2;
-        for (int i = 0; i < fleet.size; i++) {
-            if (isProbed(i) && probeAt[i] <= now) {
-                turn.probes.add(i);
-                probeAt[i] = now + chance.jitter(interval);
-            }
-        }
+    void probed(int i) {
+        askedAt[i] = 0;
     }
 
-    private boolean isProbed(int i) {
-        return mayProbe && fleet.ready[i] && (places.byProbe() || fleet.suspended[i]);
-    }
-
-    double wakeAt() {
-        double at = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < fleet.size; i++) {
-            at = isProbed(i) ? Math.min(at, probeAt[i]) : at;
+    /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
+    Exchange released(double now) {
+        for (Exchange x : kept) {
+            if (x.over || now >= x.keptUntil || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)) {
+                kept.remove(x);
+                return x;
+            }
         }
-        return at;
+        return null;
     }
 
-    void forget(int i) {
-        reportedAt[i] = 0;
-        sends[i] = 0;
+    double wakeAt() {
+        return kept.isEmpty() ? Double.POSITIVE_INFINITY : kept.peek().keptUntil;
     }
 }
--- a/src/main/java/lemondrift/decide/Stage.java
+++ b/src/main/java/lemondrift/decide/Stage.java
@@ -13,11 +13,16 @@
         return next;
     }
 
-    /** Passes the exchange on, or gives it up; the exchange has nothing out. */
+    /** Passes the exchange on, keeps it, or gives it up; the exchange has nothing out. */
     void offer(Exchange x, double now, Turn turn) {
         outer.offer(x, now, turn);
     }
 
+    /** Whether a backend may take the exchange now, as far as this stage and those before it say. */
+    boolean mayTake(Exchange x, int i, double now) {
+        return inner == null || inner.mayTake(x, i, now);
+    }
+
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         inner.ended(f, outcome, took, now, turn);
     }
--- a/src/main/java/lemondrift/model/Exchange.java
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -14,6 +14,11 @@
     public Forward mayHaveRun;
     public Forward latest;
     public double contract;
+    /** The least estimated backend, the asked on its behalf, until when it is kept, and how often each. */
+    public int best;
+    public int[] asked;
+    public double keptUntil;
+    public int asks, draws;
 
     public Exchange(long id, int grade, int tenant, double arrived, double timeLeft) {
         this.id = id;
