Reckon the wait by the pace of own outcomes, time-outs counted

The wait was reckoned with a quick answer's time, and only the quickest were delivered, so shedding began far too late. Change: a pace over the last eight own outcomes, time-outs with their time, divided by those ahead; a bad outcome no longer writes a report, which had made it look fresh. Freshness told by trust.

--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -11,6 +11,8 @@
     private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
     private static final double SPREAD = 2, STEP = 0.02;
+    /** How many own outcomes the pace is taken over. */
+    private static final int FEW = 8;
 
     /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
     final double window, memory;
@@ -20,6 +22,8 @@
     private final int balancers;
     /** The lower quartile of answer times: three steps down balance one up; and how many there were. */
     private double quick, answers;
+    /** The time that an exchange, and each one ahead of it, takes of late. */
+    private double pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded heard, heards;
@@ -34,6 +38,7 @@
         memory = MEMORY * window;
         horizon = FADE * window;
         quick = window / 16;
+        pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
         heard = new Faded(horizon);
@@ -83,7 +88,7 @@
 
     /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
     double wait(int i, double now) {
-        return Math.max(0, of(i, now) - 1) / worth(i, now) * serviceTime(i, now);
+        return Math.max(0, of(i, now) - 1) / worth(i, now) * pace / fleet.coldShare(i, now);
     }
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
@@ -101,10 +106,6 @@
         return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
-    double age(int i, double now) {
-        return reportedAt[i] == 0 ? Double.POSITIVE_INFINITY : now - reportedAt[i];
-    }
-
     /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
     double of(int i, double now) {
         double trust = trust(i, now), mean = mean(now);
@@ -124,18 +125,19 @@
     void ended(Forward f, Outcome outcome, double took, double now) {
         int i = f.backend;
         fleet.out[i]--;
+        if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
+            // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
+            pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
+        }
         switch (outcome) {
             case DELIVERED -> {
-                double step = Math.max(STEP, 1 / (4 + answers++));
+                double step = Math.max(STEP, 1 / (3 + answers));
                 quick = answers == 1 ? Math.max(took, window / 1000)
                         : quick * (took < quick ? 1 - 3 * step : 1 + step);
                 waited(places.inAnswers() ? wait(i, now) : Math.max(0, took - quick), now);
             }
-            case TIMED_OUT, CONNECT_FAILED, FULL -> {
-                // Danger: a backend that answers nothing reports nothing, and looks as idle as it last was.
-                overwrite(i, Math.max(1, of(i, now)), now);
+            case TIMED_OUT, CONNECT_FAILED, FULL ->
                 waited(outcome == Outcome.FULL ? window : took, now);
-            }
         }
     }
 
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -12,7 +12,7 @@
     int size;
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
-    /** When it last started, as told or as seen; 0 is long ago. */
+    /** When it last started, as told; 0 is long ago. */
     double[] started = {};
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -9,15 +9,15 @@
 final class Selection extends Stage {
     /** How many are asked for reports at a time, and how often for one exchange. */
     private static final int ASKED = 3, ROUNDS = 4;
-    /** A report is fresh for this share of the window, and an answer awaited for this share. */
-    private static final double FRESH = 1.0 / 16, PATIENCE = 1.0 / 32;
+    /** A report trusted this much is fresh; an answer is awaited for this share of the window. */
+    private static final double FRESH = 0.6, PATIENCE = 1.0 / 32;
 
     private final Fleet fleet;
     private final Estimate estimate;
     private final Chance chance;
     private final int here, asked, rounds;
     private final boolean mayProbe;
-    private final double crossing, meanBenefit, fresh, patience;
+    private final double crossing, meanBenefit, patience;
     private final double[] benefit;
     private final Deque<Exchange> kept = new ArrayDeque<>();
     private double swapAt;
@@ -35,7 +35,6 @@
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
-        fresh = FRESH * estimate.window;
         patience = PATIENCE * estimate.window;
     }
 
@@ -93,13 +92,13 @@
         }
         int part = part(now);
         rank(x, part, now);
-        if (!mayProbe || x.asks >= rounds || x.best < 0 || isFresh(x.best, now)) {
+        if (!mayProbe || x.asks >= rounds || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
             return false;
         }
         x.asks++;
         x.asked = Arrays.copyOf(fleet.order, Math.min(asked, part));
         for (int i : x.asked) {
-            if (askedAt[i] == 0 && !isFresh(i, now) && mayTake(x, i, now)) {
+            if (askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
                 askedAt[i] = now;
                 turn.probes.add(i);
             }
@@ -108,10 +107,6 @@
         return kept.add(x);
     }
 
-    private boolean isFresh(int i, double now) {
-        return estimate.age(i, now) <= fresh;
-    }
-
     /** Danger: a part of which none can take the exchange would shed what others in the fleet could take. */
     boolean drawsOthers(Exchange x, double now) {
         int part = part(now), found = 0;
@@ -137,7 +132,7 @@
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
-        x.latest = new Forward(x, x.best, now, x.contract - now);
+        x.latest = new Forward(x, x.best, now, x.contract - now, Math.max(0, estimate.of(x.best, now) - 1));
         x.forwards++;
         x.out++;
         x.asks = 0;
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -235,6 +235,23 @@
         assertNotNull(w.arrive(PURE), "shedding can't lock itself in");
     }
 
+    @Test
+    void whereAllTurnSlowOnlyTheIdleAreUsed() {
+        World w = World.of(1);
+        w.loads.put(0, new double[] {1, 1});
+        assertNotNull(w.arrive(PURE), "one ahead is a short wait");
+        w.load(0);
+        for (int i = 0; i < 12; i++) {
+            Forward f = w.arrive(PURE);
+            w.wakeUntil(w.now + 1);
+            w.end(f, Outcome.TIMED_OUT);
+        }
+        assertNotNull(w.arrive(PURE));
+        w.loads.put(0, new double[] {1, 1});
+        w.wakeUntil(w.now + 1);
+        assertNull(w.arrive(PURE), "time-outs tell how long the one ahead takes");
+    }
+
     @Test
     void everyExchangeIsAnsweredByItsExpiryAndTheClientsLeavingCancels() {
         World w = World.of(2);
