Fade averages to their location's mean and weigh crossing by the harm of a utilisation

Change: where reports are averages, the mean is kept by location over eight windows; crossing's charge is divided by the share of exchanges that a utilisation higher by one makes late (a half, read off printed picks). Rounds of asking are bounded by what probes may cost. The rule on saturated reports is dropped.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -1,7 +1,6 @@
 package lemondrift.decide;
 
 import java.util.Arrays;
-import java.util.stream.Stream;
 import lemondrift.model.*;
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
@@ -21,7 +20,7 @@
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         mostBenefit = Arrays.stream(benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
-        used = Stream.generate(() -> new Faded(estimate.memory)).limit(quota.length).toArray(Faded[]::new);
+        used = Faded.many(quota.length, estimate.memory);
         excessBenefit = s.excessBenefit();
     }
 
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -7,8 +7,6 @@
 final class Estimate {
     /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125;
-    /** From this report on utilisations separate nothing; where no queue is reported, own forwards out do. */
-    private static final double SATURATED = 0.9;
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
     private static final double SPREAD = 2, STEP = 0.02;
     /** How many own outcomes the pace is taken over. */
@@ -17,7 +15,9 @@
     /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
     final double window, memory;
     private final double horizon;
-    final Settings.Reports places;
+    /** Reports say utilisation alone, which is an average that stays while hundreds of proxies act on it. */
+    final boolean averages;
+    private final Settings.Reports places;
     private final Fleet fleet;
     private final int balancers;
     /** The lower quartile of answer times: three steps down balance one up; and how many there were. */
@@ -26,7 +26,7 @@
     private double pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
-    private final Faded heard, heards;
+    private final Faded[] heard, heards;
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
 
@@ -34,6 +34,7 @@
         this.fleet = fleet;
         balancers = s.balancers();
         places = s.reports();
+        averages = places.held() < 0;
         window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
         memory = MEMORY * window;
         horizon = FADE * window;
@@ -41,8 +42,8 @@
         pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
-        heard = new Faded(horizon);
-        heards = new Faded(horizon);
+        heard = Faded.many(averages ? s.locations() : 1, averages ? memory : horizon);
+        heards = Faded.many(averages ? s.locations() : 1, averages ? memory : horizon);
     }
 
     void listed() {
@@ -54,31 +55,28 @@
 
     /** A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. */
     void reported(int i, double[] figures, boolean delivered, double now) {
-        if (figures == null || !(figure(figures, places.utilisation(), -1) >= 0)) {
+        double u = figure(figures, places.utilisation(), 0), held = figure(figures, places.held(), 0);
+        if (figures == null || !(u + held >= 0)) {
             return;
         }
-        double u = figure(figures, places.utilisation(), 0);
         rated[i] = u / figure(figures, places.rate(), 0);
-        double told = u + figure(figures, places.held(), 0) * worth(i, now);
+        double told = u + held * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        overwrite(i, delivered ? told : Math.max(told, mean(now)), now);
-        heard.add(told, now);
-        heards.add(1, now);
+        report[i] = delivered ? told : Math.max(told, mean(i, now));
+        reportedAt[i] = now;
+        sends[i] = 0;
+        heard[fleet.location[i] % heard.length].add(told, now);
+        heards[fleet.location[i] % heard.length].add(1, now);
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
-        return place >= 0 && place < figures.length ? figures[place] : otherwise;
-    }
-
-    private void overwrite(int i, double estimate, double now) {
-        report[i] = estimate;
-        reportedAt[i] = now;
-        sends[i] = 0;
+        return place >= 0 && figures != null && place < figures.length ? figures[place] : otherwise;
     }
 
-    /** The mean of the reports heard lately and a half. */
-    private double mean(double now) {
-        return (0.5 + heard.at(now)) / (1 + heards.at(now));
+    /** The mean of the reports heard lately and a half; of averages, those of its own location. */
+    private double mean(int i, double now) {
+        int at = fleet.location[i] % heard.length;
+        return (0.5 + heard[at].at(now)) / (1 + heards[at].at(now));
     }
 
     /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
@@ -106,12 +104,11 @@
         return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
-    /** The estimate. What a report no longer tells, being old or at its top, the mean and forwards out do. */
+    /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
     double of(int i, double now) {
-        double trust = trust(i, now), mean = mean(now);
+        double trust = trust(i, now), mean = mean(i, now);
         double base = mean + trust * (report[i] - mean);
-        double told = report[i] >= SATURATED && places.held() < 0 ? 0 : trust;
-        double own = told * sends[i] + (1 - told) * fleet.out[i];
+        double own = trust * sends[i] + (1 - trust) * fleet.out[i];
         // Danger: a cold backend reports near nothing and draws more than it can bear.
         return (fleet.coldShare(i, now) < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
     }
--- a/src/main/java/lemondrift/decide/Faded.java
+++ b/src/main/java/lemondrift/decide/Faded.java
@@ -1,5 +1,7 @@
 package lemondrift.decide;
 
+import java.util.stream.Stream;
+
 /** A sum that fades away over a span of time. */
 final class Faded {
     private final double span;
@@ -9,6 +11,10 @@
         this.span = span;
     }
 
+    static Faded[] many(int count, double span) {
+        return Stream.generate(() -> new Faded(span)).limit(count).toArray(Faded[]::new);
+    }
+
     double at(double now) {
         return sum == 0 ? 0 : sum * Math.exp((at - now) / span);
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -7,7 +7,9 @@
 
 /** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
-    /** How many are asked for reports at a time, and how often for one exchange. */
+    /** The share of exchanges that a utilisation higher by one makes late; the benefit asking may cost. */
+    private static final double HARM = 0.5, MOST_COST = 0.03;
+    /** How many are asked for reports at a time and how often, where probes are cheap. */
     private static final int ASKED = 3, ROUNDS = 4;
     /** A report trusted this much is fresh; an answer is awaited for this share of the window. */
     private static final double FRESH = 0.6, PATIENCE = 1.0 / 32;
@@ -15,8 +17,7 @@
     private final Fleet fleet;
     private final Estimate estimate;
     private final Chance chance;
-    private final int here, asked, rounds;
-    private final boolean mayProbe;
+    private final int here, rounds;
     private final double crossing, meanBenefit, patience;
     private final double[] benefit;
     private final Deque<Exchange> kept = new ArrayDeque<>();
@@ -29,9 +30,8 @@
         this.estimate = estimate;
         this.chance = chance;
         here = s.location();
-        asked = estimate.places.held() < 0 ? 1 : ASKED;
-        rounds = estimate.places.held() < 0 ? 1 : ROUNDS;
-        mayProbe = s.limits().probes();
+        rounds = !s.limits().probes() ? 0
+                : (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
@@ -71,7 +71,7 @@
 
     /** Ranks the part by estimate and, beyond it, crossing's charge as a share of the exchange's benefit. */
     private void rank(Exchange x, int part, double now) {
-        double cross = crossing * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
+        double cross = crossing / HARM * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
@@ -92,11 +92,11 @@
         }
         int part = part(now);
         rank(x, part, now);
-        if (!mayProbe || x.asks >= rounds || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
+        if (x.asks >= rounds || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
             return false;
         }
         x.asks++;
-        x.asked = Arrays.copyOf(fleet.order, Math.min(asked, part));
+        x.asked = Arrays.copyOf(fleet.order, Math.min(estimate.averages ? 1 : ASKED, part));
         for (int i : x.asked) {
             if (askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
                 askedAt[i] = now;
@@ -126,7 +126,7 @@
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double doubt = estimate.places.held() < 0 ? 1 : 1 - estimate.trust(x.best, now);
+        double doubt = estimate.averages ? 1 : 1 - estimate.trust(x.best, now);
         return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
--- a/src/main/java/lemondrift/drill/SettingsReader.java
+++ b/src/main/java/lemondrift/drill/SettingsReader.java
@@ -39,8 +39,9 @@
         for (int i = 0; i < quota.length; i++) {
             quota[i] = number("realms." + i + ".quotaPerS");
         }
-        return new Settings((int) number("siblings"), (int) number("zone"),
-                text("membershipMode", "pushed").equals("on_request"), List.copyOf(grades), quota,
+        boolean onRequest = text("membershipMode", "pushed").equals("on_request");
+        return new Settings((int) number("siblings"), text("localities", "").split(",").length,
+                (int) number("zone"), onRequest, List.copyOf(grades), quota,
                 number("excessBenefit", 1), reports(),
                 new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
                         (int) number("limits.mostForwards"),
@@ -52,9 +53,8 @@
     }
 
     private Settings.Reports reports() {
-        String how = text("report.how", "off");
         List<String> names = Arrays.asList(text("report.names", "").split(","));
-        return new Settings.Reports(how.equals("inline"), how.equals("on_probe"), names.indexOf("util"),
+        return new Settings.Reports(text("report.how", "off").equals("inline"), names.indexOf("util"),
                 names.indexOf(names.contains("inflight") ? "inflight" : "queue"), names.indexOf("qps"));
     }
 
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -3,12 +3,12 @@
 import java.util.List;
 
 /** What a deployment states at start; times in seconds, charges and shares as fractions. */
-public record Settings(int balancers, int location, boolean listOnRequest, List<ServiceGrade> grades,
-        double[] tenantQuota, double excessBenefit, Reports reports, Limits limits,
+public record Settings(int balancers, int locations, int location, boolean listOnRequest,
+        List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, Reports reports, Limits limits,
         Rules rules, Charges charges) {
 
     /** Load reports: where they come from, and at which place each figure stands (-1: not given). */
-    public record Reports(boolean inAnswers, boolean byProbe, int utilisation, int held, int rate) {}
+    public record Reports(boolean inAnswers, int utilisation, int held, int rate) {}
 
     public record Limits(boolean cancel, boolean probes, int forwards,
             double retryAfter) {}
