--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -5,13 +5,16 @@
 
 /** The design's figure: a backend's last report plus own sends since times one exchange's worth. */
 final class Estimate {
-    /** Windows (outcomes, for the pace) of own figures and of the wait met lately; how soon reports fade. */
+    /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125;
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
     private static final double SPREAD = 2, STEP = 0.02;
+    /** How many own outcomes the pace is taken over. */
+    private static final int FEW = 8;
 
-    /** The window of the design page, which is the shortest contract time; the others in seconds. */
-    final double window, memory, horizon;
+    /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
+    final double window, memory;
+    private final double horizon;
     /** Reports say utilisation alone, which is an average that stays while hundreds of proxies act on it. */
     final boolean averages;
     private final Settings.Reports places;
@@ -50,23 +53,20 @@
         rated = Arrays.copyOf(rated, fleet.size);
     }
 
-    /** A report overwrites the estimate and clears the sends; exchanges held add their work to it. */
+    /** A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. */
     void reported(int i, double[] figures, boolean delivered, double now) {
         double u = figure(figures, places.utilisation(), 0), held = figure(figures, places.held(), 0);
-        boolean told = figures != null && u + held >= 0;
-        double estimate = told ? u + held * worth(i, now) : 1;
-        if (told) {
-            rated[i] = u / figure(figures, places.rate(), 0);
-            // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-            report[i] = delivered ? estimate : Math.max(estimate, mean(i, now));
-            reportedAt[i] = now;
-            sends[i] = 0;
-        }
-        // Danger: a location that is cut off reports nothing, and would seem as idle as it was.
-        if (told || averages && !delivered) {
-            heard[fleet.location[i] % heard.length].add(estimate, now);
-            heards[fleet.location[i] % heard.length].add(1, now);
+        if (figures == null || !(u + held >= 0)) {
+            return;
         }
+        rated[i] = u / figure(figures, places.rate(), 0);
+        double told = u + held * worth(i, now);
+        // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
+        report[i] = delivered ? told : Math.max(told, mean(i, now));
+        reportedAt[i] = now;
+        sends[i] = 0;
+        heard[fleet.location[i] % heard.length].add(told, now);
+        heards[fleet.location[i] % heard.length].add(1, now);
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
@@ -124,7 +124,7 @@
         fleet.out[i]--;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
-            pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, MEMORY);
+            pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
         }
         switch (outcome) {
             case DELIVERED -> {
