--- a/src/main/java/lemondrift/Main.java
+++ b/src/main/java/lemondrift/Main.java
@@ -1,16 +1,26 @@
 package lemondrift;
 
 import lemondrift.drill.Drill;
+import lemondrift.serve.Serve;
 
 /** Subcommands; each protocol that can stand before the decisions gets one. */
 public final class Main {
     private Main() {}
 
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("drill")) {
-            System.exit(Drill.run(System.in, System.out, System.err));
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> {
+                int code = Serve.run(System.getenv(), System.err);
+                if (code != 0) {
+                    Runtime.getRuntime().halt(code);
+                }
+            }
+            case "drill" -> System.exit(Drill.run(System.in, System.out, System.err));
+            default -> {
+                System.err.println("usage: lemondrift serve | drill   (the real proxy; the users' bench)");
+                System.exit(2);
+            }
         }
-        System.err.println("usage: lemondrift drill   (plays the decisions on the users' bench)");
-        System.exit(2);
     }
 }
--- a/src/main/java/lemondrift/drill/Drill.java
+++ b/src/main/java/lemondrift/drill/Drill.java
@@ -16,6 +16,8 @@
 import lemondrift.model.Outcome;
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
+import lemondrift.settings.BadInput;
+import lemondrift.settings.SettingsReader;
 
 /** The bench adapter: decodes batches into calls to the decisions and encodes what they return. */
 public final class Drill {
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -0,0 +1,159 @@
+package lemondrift.serve;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import lemondrift.model.Forward;
+import lemondrift.model.Outcome;
+import org.xnio.XnioIoThread;
+
+/** Forwards, probes and load reports over bounded pools of connections. I/O thread only, but for start. */
+final class Backends {
+    static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
+    private static final HttpString LOAD = new HttpString("Endpoint-Load-Metrics");
+    private static final HttpString NEVER_RAN = new HttpString("X-Never-Ran");
+    private static final Set<HttpString> OWN = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE, Headers.TE,
+            Headers.TRAILER, Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.EXPECT,
+            Headers.CONTENT_LENGTH, EXPIRES, LOAD);
+    private static final int MOST_BODY = 64 * 1024;
+    /** The share of the descriptors for connections to all backends, and of those for one. */
+    private static final double SHARE = 0.4, MOST_OF_THEM = 0.25;
+    /** Idle connections are closed at this share of the time after which a backend does so. */
+    private static final double IDLE_SHARE = 0.5;
+
+    private final Config config;
+    private final Clock clock;
+    private final Dialler dialler;
+    private final ByteBufferPool buffers;
+    private final Owner owner;
+    private final Links.Budget budget;
+    private final Map<Integer, Links> links = new HashMap<>();
+    private final Map<Forward, Call> calls = new HashMap<>();
+
+    Backends(Config config, Clock clock, XnioIoThread io, ByteBufferPool buffers, Owner owner) {
+        this.config = config;
+        this.clock = clock;
+        this.dialler = new Dialler(io);
+        this.buffers = buffers;
+        this.owner = owner;
+        budget = new Links.Budget((int) (SHARE * config.sockets()));
+        double limit = IDLE_SHARE * config.idle();
+        io.executeAtInterval(() -> links.values().forEach(l -> l.closeIdleSince(clock.now() - limit)),
+                (long) (limit * 1e9 / 8), TimeUnit.NANOSECONDS);
+    }
+
+    void send(Forward f, Taken taken, InetSocketAddress to) {
+        HttpServerExchange client = taken.client();
+        String query = client.getQueryString();
+        ClientRequest request = request(client.getRequestMethod(), client.getRequestURI()
+                + (query.isEmpty() ? "" : "?" + query), to);
+        copy(client.getRequestHeaders(), request.getRequestHeaders());
+        request.getRequestHeaders().put(EXPIRES, Math.round(f.timeOut * 1000));
+        if (taken.body().length > 0 || !request.getMethod().equals(Methods.GET)) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, taken.body().length);
+        }
+        double began = clock.now();
+        // Time that passed in the queues is the exchange's own.
+        double within = f.sent + f.timeOut - began;
+        Call call = Call.begin(links(f.backend, to), request, taken.body(), MOST_BODY,
+                config.connectTimeout(), within, answer -> {
+                    calls.remove(f);
+                    owner.ended(f, outcome(answer), clock.now() - f.sent,
+                            report(answer.headers().getFirst(LOAD)), answer);
+                });
+        if (call == null) {
+            owner.ended(f, Outcome.MOOT, 0, null, null);
+        } else {
+            calls.put(f, call);
+        }
+    }
+
+    void cancel(Forward f) {
+        Call call = calls.remove(f);
+        if (call != null) {
+            call.abandon();
+            owner.ended(f, Outcome.CANCELLED, clock.now() - f.sent, null, null);
+        }
+    }
+
+    /** A probe waits as long as a connect may. */
+    void probe(int backend, InetSocketAddress to) {
+        ClientRequest request = request(Methods.GET, config.reportNames().isEmpty() ? "/healthz" : "/load", to);
+        request.getRequestHeaders().put(Headers.HOST, "backend");
+        Call call = Call.begin(links(backend, to), request, new byte[0], MOST_BODY, config.connectTimeout(),
+                config.connectTimeout(), answer -> owner.probed(backend, outcome(answer),
+                        report(new String(answer.body(), StandardCharsets.ISO_8859_1))));
+        if (call == null) {
+            owner.probed(backend, Outcome.MOOT, null);
+        }
+    }
+
+    void letGo(int backend) {
+        if (links.containsKey(backend)) {
+            links.get(backend).closeIdleSince(Double.POSITIVE_INFINITY);
+        }
+    }
+
+    private Links links(int backend, InetSocketAddress to) {
+        Links known = links.get(backend);
+        if (known == null || !known.address.equals(to)) {
+            letGo(backend);
+            int most = (int) (MOST_OF_THEM * SHARE * config.sockets());
+            known = new Links(to, dialler, buffers, clock, budget, most);
+            links.put(backend, known);
+        }
+        return known;
+    }
+
+    private static ClientRequest request(HttpString method, String path, InetSocketAddress to) {
+        return new ClientRequest().setMethod(method).setPath(path);
+    }
+
+    /** Everything but what belongs to one connection. */
+    static void copy(HeaderMap from, HeaderMap to) {
+        for (HeaderValues values : from) {
+            if (!OWN.contains(values.getHeaderName())) {
+                to.putAll(values.getHeaderName(), values);
+            }
+        }
+    }
+
+    static Outcome outcome(Answer answer) {
+        boolean neverRan = "1".equals(answer.headers().getFirst(NEVER_RAN));
+        return switch (answer.status()) {
+            case 0 -> !answer.sent() ? Outcome.CONNECT_FAILED
+                    : answer.timedOut() ? Outcome.TIMED_OUT : Outcome.RESET;
+            case Answer.OK -> Outcome.DELIVERED;
+            case 503, 504 -> neverRan ? Outcome.FULL : Outcome.ERROR;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    /** The figures that the settings name, in their order, of TEXT name=value, name=value; null if not all. */
+    private double[] report(String text) {
+        if (text == null) {
+            return null;
+        }
+        Map<String, String> pairs = new HashMap<>();
+        for (String pair : text.strip().replaceFirst("^TEXT\\s+", "").split(",")) {
+            int equals = pair.indexOf('=');
+            pairs.put(pair.substring(0, Math.max(0, equals)).strip(), pair.substring(equals + 1).strip());
+        }
+        try {
+            return config.reportNames().stream().mapToDouble(n -> Double.parseDouble(pairs.get(n))).toArray();
+        } catch (NumberFormatException | NullPointerException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Clock.java
@@ -0,0 +1,13 @@
+package lemondrift.serve;
+
+/** The time in seconds, which never runs back. */
+interface Clock {
+    double now();
+
+    /** Starts at the Unix time, which starts of backends are told in, and goes on by the monotonic clock. */
+    static Clock system() {
+        // Danger: a start told in Unix time must come out the same in every list, or it would seem a new start.
+        double origin = System.currentTimeMillis() / 1e3 - System.nanoTime() / 1e9;
+        return () -> origin + System.nanoTime() / 1e9;
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -0,0 +1,87 @@
+package lemondrift.serve;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import lemondrift.model.Settings;
+import lemondrift.settings.BadInput;
+import lemondrift.settings.SettingsReader;
+
+/** What one proxy is told at start: the decisions' settings, the names at its door, and its own addresses. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
+        List<String> reportNames, double idle, double connectTimeout, JsonObject known) {
+
+    static Config read(String json) {
+        try {
+            return read(JsonParser.parseString(json).getAsJsonObject());
+        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException e) {
+            throw new BadInput("not the JSON object that is wanted: " + e.getMessage());
+        }
+    }
+
+    private static Config read(JsonObject json) {
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", json, pairs);
+        SettingsReader all = new SettingsReader(pairs);
+        Map<String, String> inner = new HashMap<>();
+        pairs.forEach((key, value) -> {
+            if (key.startsWith("settings.")) {
+                inner.put(key.substring("settings.".length()), value);
+            }
+        });
+        SettingsReader reader = new SettingsReader(inner);
+        return new Config(all.text("name", "proxy"), address("listen", all.text("listen", null)),
+                address("discovery", all.text("discovery", null)), seed(all.text("seed", "0")),
+                (int) all.number("limits.sockets", 1024), reader.settings(), names(inner, "serviceGrades"),
+                names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
+                reader.number("limits.connIdle", 10_000) / 1000,
+                reader.number("limits.connectTimeout", 250) / 1000, json.getAsJsonObject("known"));
+    }
+
+    private static List<String> names(Map<String, String> pairs, String list) {
+        int count = Integer.parseInt(pairs.getOrDefault(list + ".count", "0"));
+        return IntStream.range(0, count).mapToObj(i -> pairs.get(list + "." + i + ".name")).toList();
+    }
+
+    /** The path=value pairs of nested JSON; a list of objects has its length under .count. */
+    static void flatten(String at, JsonElement value, Map<String, String> pairs) {
+        String below = at.isEmpty() ? "" : at + ".";
+        if (value instanceof JsonObject object) {
+            object.entrySet().forEach(e -> flatten(below + e.getKey(), e.getValue(), pairs));
+        } else if (value instanceof JsonArray array && !array.isEmpty() && array.get(0).isJsonObject()) {
+            pairs.put(below + "count", String.valueOf(array.size()));
+            for (int i = 0; i < array.size(); i++) {
+                flatten(below + i, array.get(i), pairs);
+            }
+        } else if (value instanceof JsonArray array) {
+            pairs.put(at, String.join(",", array.asList().stream().map(JsonElement::getAsString).toList()));
+        } else if (value.isJsonPrimitive()) {
+            pairs.put(at, value.getAsString());
+        }
+    }
+
+    static InetSocketAddress address(String what, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            throw new BadInput(what + ": not host:port: " + text);
+        }
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new BadInput("seed: not a hexadecimal number: " + hex);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -0,0 +1,213 @@
+package lemondrift.serve;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.Receiver;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import lemondrift.model.Exchange;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
+final class Front {
+    private static final HttpString TRACE = new HttpString("X-Trace-Id");
+    private static final HttpString GRADE = new HttpString("X-Qos");
+    private static final HttpString TENANT = new HttpString("X-Customer");
+    private static final int MOST_BODY = 64 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+    /** The share of the descriptors for clients' connections; and the longest an exchange may last, in ms. */
+    private static final double SHARE = 0.5;
+    private static final int LONGEST = 600_000;
+    /** What a connection's exchange is, for when it closes; taken out once the exchange is answered. */
+    private static final AttachmentKey<Current> CURRENT = AttachmentKey.create(Current.class);
+
+    private static final class Current {
+        Exchange exchange;
+    }
+
+    private final Config config;
+    private final Clock clock;
+    private final Owner owner;
+    private final Undertow undertow;
+    private long taken;
+    private volatile int open;
+    private volatile boolean draining;
+    private volatile double lastArrival;
+
+    Front(Config config, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner) {
+        this.config = config;
+        this.clock = clock;
+        this.owner = owner;
+        undertow = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
+                .addHttpListener(config.listen().getPort(), config.listen().getHostString(), this::handle)
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .setSocketOption(Options.REUSE_ADDRESSES, true)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, (int) (SHARE * config.sockets()))
+                .setSocketOption(Options.CONNECTION_LOW_WATER, (int) (SHARE * config.sockets()) - 1)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .build();
+    }
+
+    void listen() {
+        undertow.start();
+    }
+
+    /** From now on every answer closes its connection; new ones are still taken. */
+    void drain() {
+        draining = true;
+    }
+
+    boolean isQuietSince(double time) {
+        return open == 0 && lastArrival <= time;
+    }
+
+    void close() {
+        undertow.stop();
+    }
+
+    private void handle(HttpServerExchange client) {
+        if (draining) {
+            client.setPersistent(false);
+        }
+        if (client.getRequestPath().equals("/healthz") && !client.getRequestHeaders().contains(TRACE)) {
+            end(client, draining ? 503 : Answer.OK);
+            return;
+        }
+        lastArrival = clock.now();
+        if (client.getRequestContentLength() > MOST_BODY) {
+            client.setPersistent(false);
+            end(client, 413);
+            return;
+        }
+        Receiver receiver = client.getRequestReceiver();
+        receiver.setMaxBufferSize(MOST_BODY);
+        receiver.receiveFullBytes(this::received, (failed, e) -> {
+            failed.setPersistent(false);
+            end(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400);
+        });
+    }
+
+    private void received(HttpServerExchange client, byte[] body) {
+        client.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            Exchange x = exchange(client.getRequestHeaders());
+            if (x == null) {
+                end(client, 400);
+                return;
+            }
+            Current current = current(client);
+            current.exchange = x;
+            open++;
+            client.addExchangeCompleteListener((done, next) -> {
+                open--;
+                current.exchange = null;
+                next.proceed();
+            });
+            watchForClose((AbstractServerConnection) client.getConnection());
+            owner.arrived(new Taken(x, client, body));
+        });
+    }
+
+    /** Null where a field is missing or malformed. */
+    private Exchange exchange(HeaderMap headers) {
+        String left = headers.getFirst(Backends.EXPIRES);
+        String customer = headers.getFirst(TENANT);
+        int grade = config.gradeNames().indexOf(headers.getFirst(GRADE));
+        int tenant = config.tenantNames().isEmpty() ? 0 : config.tenantNames().indexOf(customer);
+        if (!headers.contains(TRACE) || grade < 0 || tenant < 0 || left == null
+                || !left.matches("\\d{1,9}")) {
+            return null;
+        }
+        double now = clock.now();
+        return new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, Integer.parseInt(left)) / 1e3);
+    }
+
+    private Current current(HttpServerExchange client) {
+        Current known = client.getConnection().getAttachment(CURRENT);
+        if (known != null) {
+            return known;
+        }
+        Current current = new Current();
+        client.getConnection().putAttachment(CURRENT, current);
+        client.getConnection().addCloseListener(closed -> {
+            if (current.exchange != null) {
+                owner.left(current.exchange);
+            }
+        });
+        return current;
+    }
+
+    /** Danger: Undertow reads nothing while an answer is awaited, and would not see that a client has gone. */
+    private static void watchForClose(AbstractServerConnection connection) {
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
+        connection.getChannel().getSourceChannel().setReadListener(channel -> {
+            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+            try {
+                int got = source.read(pooled.getBuffer());
+                if (got > 0) {
+                    // A request sent ahead of the answer to the one before: it is read when its turn comes.
+                    pooled.getBuffer().flip();
+                    connection.setExtraBytes(pooled);
+                    pooled = null;
+                    channel.suspendReads();
+                } else if (got < 0) {
+                    IoUtils.safeClose(connection.getChannel());
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(connection.getChannel());
+            } finally {
+                IoUtils.safeClose(pooled);
+            }
+        });
+        connection.getChannel().getSourceChannel().resumeReads();
+    }
+
+    /** Passes a backend's answer on. */
+    void deliver(HttpServerExchange client, Answer answer) {
+        Backends.copy(answer.headers(), client.getResponseHeaders());
+        answer(client, Answer.OK, answer.body());
+    }
+
+    /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
+    void giveUp(HttpServerExchange client, boolean shed, double retryAfter) {
+        if (shed && retryAfter > 0) {
+            client.getResponseHeaders().put(Headers.RETRY_AFTER,
+                    String.format(java.util.Locale.ROOT, "%.3f", retryAfter));
+        }
+        answer(client, shed ? 503 : 502, new byte[0]);
+    }
+
+    private void end(HttpServerExchange client, int status) {
+        answer(client, status, new byte[0]);
+    }
+
+    private void answer(HttpServerExchange client, int status, byte[] body) {
+        if (client.isResponseStarted() || client.isComplete()) {
+            return;
+        }
+        if (draining) {
+            client.setPersistent(false);
+        }
+        client.setStatusCode(status);
+        client.setResponseContentLength(body.length);
+        if (body.length == 0) {
+            client.endExchange();
+        } else {
+            client.getResponseSender().send(ByteBuffer.wrap(body));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -0,0 +1,24 @@
+package lemondrift.serve;
+
+import java.net.InetSocketAddress;
+import lemondrift.model.Forward;
+import lemondrift.model.Turn;
+
+/** What the owner of the decisions has the sockets do; each returns at once. */
+interface Hands {
+    void send(Forward f, Taken taken, InetSocketAddress to);
+
+    void cancel(Forward f);
+
+    void probe(int backend, InetSocketAddress to);
+
+    void list(Turn.ListCall call);
+
+    void deliver(Taken taken, Answer answer);
+
+    /** Ends an exchange as the decisions say; the retry-after is in seconds, 0 where there is none. */
+    void giveUp(Taken taken, boolean shed, double retryAfter);
+
+    /** A backend is no longer ready or has another address: what stands idle there is closed. */
+    void letGo(int backend);
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -0,0 +1,172 @@
+package lemondrift.serve;
+
+import com.google.gson.JsonObject;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import lemondrift.decide.Balancer;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.model.Turn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread that calls the decisions. Everybody else reaches it through its queue. */
+final class Owner {
+    private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
+    private static final int QUEUED = 4096;
+    private static final double LONGEST_WAIT = 10;
+
+    /** Something that happened, and the exchange that it is about, if any. */
+    private record Event(Exchange about, Supplier<Turn> call) {}
+
+    private final BlockingQueue<Event> queue = new ArrayBlockingQueue<>(QUEUED);
+    private final Balancer balancer;
+    private final Directory directory;
+    private final Clock clock;
+    private final Hands hands;
+    private final Map<Exchange, Taken> open = new HashMap<>();
+    private final Thread thread = new Thread(this::run, "owner");
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    Owner(Balancer balancer, Directory directory, Clock clock, Hands hands) {
+        this.balancer = balancer;
+        this.directory = directory;
+        this.clock = clock;
+        this.hands = hands;
+        thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    void stop() {
+        thread.interrupt();
+    }
+
+    void arrived(Taken taken) {
+        put(taken.exchange(), () -> {
+            open.put(taken.exchange(), taken);
+            return balancer.exchangeArrived(clock.now(), taken.exchange());
+        });
+    }
+
+    /** The answer is the one to pass on if this forward delivers. */
+    void ended(Forward f, Outcome outcome, double took, double[] report, Answer answer) {
+        put(f.exchange, () -> {
+            boolean wins = outcome == Outcome.DELIVERED && !f.exchange.over;
+            Taken taken = open.get(f.exchange);
+            if (wins && taken != null) {
+                hands.deliver(taken, answer);
+            }
+            Turn turn = balancer.forwardEnded(clock.now(), f, outcome, took, wins || f.exchange.over, report);
+            release(f.exchange);
+            return turn;
+        });
+    }
+
+    void probed(int backend, Outcome outcome, double[] report) {
+        put(null, () -> balancer.probeEnded(clock.now(), backend, outcome, report));
+    }
+
+    void left(Exchange x) {
+        put(x, () -> x.over ? null : balancer.clientLeft(clock.now(), x));
+    }
+
+    void listed(JsonObject list, boolean stale) {
+        put(null, () -> {
+            List<Listed> lines = directory.listed(list);
+            Turn turn = balancer.backendsListed(clock.now(), list.get("complete").getAsBoolean(), stale, lines);
+            lines.stream().filter(line -> line.state() != Listed.State.READY)
+                    .forEach(line -> hands.letGo(line.backend()));
+            return turn;
+        });
+    }
+
+    void listFailed() {
+        put(null, () -> balancer.listFailed(clock.now()));
+    }
+
+    private void put(Exchange about, Supplier<Turn> call) {
+        try {
+            queue.put(new Event(about, call));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        while (!Thread.interrupted()) {
+            try {
+                double wait = Math.min(LONGEST_WAIT, wakeAt - clock.now());
+                Event event = wait <= 0 ? queue.poll() : queue.poll((long) (wait * 1e9), TimeUnit.NANOSECONDS);
+                if (event != null) {
+                    handle(event);
+                }
+                if (wakeAt <= clock.now()) {
+                    handle(new Event(null, () -> balancer.wake(clock.now())));
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** Danger: an exception in one exchange must not end the proxy, nor leave the exchange unanswered. */
+    private void handle(Event event) {
+        try {
+            Turn turn = event.call.get();
+            if (turn != null) {
+                carryOut(turn);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("event failed", e);
+            if (event.about != null && !event.about.over) {
+                event.about.over = true;
+                answer(event.about, false, 0);
+            }
+            wakeAt = Math.min(wakeAt, clock.now() + 1);
+        }
+        if (event.about != null) {
+            release(event.about);
+        }
+    }
+
+    private void carryOut(Turn turn) {
+        turn.cancels.forEach(hands::cancel);
+        for (Forward f : turn.sends) {
+            hands.send(f, open.get(f.exchange), directory.address(f.backend));
+        }
+        for (Turn.Answer a : turn.answers) {
+            answer(a.exchange(), a.shed(), a.retryAfter());
+            release(a.exchange());
+        }
+        for (int backend : turn.probes) {
+            hands.probe(backend, directory.address(backend));
+        }
+        turn.listCalls.forEach(hands::list);
+        turn.notes.forEach(LOG::info);
+        wakeAt = turn.wakeAt;
+    }
+
+    private void answer(Exchange x, boolean shed, double retryAfter) {
+        Taken taken = open.get(x);
+        if (taken != null) {
+            hands.giveUp(taken, shed, retryAfter);
+        }
+    }
+
+    /** Lets go of an exchange that is over and has nothing out. */
+    private void release(Exchange x) {
+        if (x.over && x.out == 0) {
+            open.remove(x);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -0,0 +1,128 @@
+package lemondrift.serve;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import lemondrift.decide.Balancer;
+import lemondrift.model.Forward;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Turn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** The program: one real proxy, from its start to its exit. */
+public final class Proxy {
+    /** What the program is doing; it only goes forward. */
+    enum Phase { STARTING, SERVING, DRAINING, STOPPED }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Proxy.class);
+    private static final int BUFFER = 8 * 1024, MOST_BUFFERS = 512;
+    /** Seconds in which new clients may still come after a drain has begun, and the quiet that ends it. */
+    private static final double STRAGGLERS = 0.55, QUIET = 0.25;
+
+    private final Clock clock = Clock.system();
+    private final Owner owner;
+    private final Front front;
+    private final Watch watch;
+    private final double longestExpiry;
+    private volatile Phase phase = Phase.STARTING;
+
+    Proxy(Config config) throws IOException {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.WORKER_NAME, "io")
+                .set(Options.THREAD_DAEMON, false).getMap());
+        XnioIoThread io = worker.getIoThread();
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, MOST_BUFFERS, 8);
+        longestExpiry = config.settings().grades().stream().mapToDouble(ServiceGrade::expiry).max().orElse(1);
+        Sockets sockets = new Sockets(io);
+        owner = new Owner(new Balancer(config.settings(), config.seed()), new Directory(config.locations()),
+                clock, sockets);
+        front = new Front(config, clock, worker, buffers, owner);
+        watch = new Watch(config, clock, io, buffers, owner);
+        sockets.backends = new Backends(config, clock, io, buffers, owner);
+        if (config.known() != null) {
+            owner.listed(config.known(), true);
+        }
+        LOG.info("{} starts, listens on {}", config.name(), config.listen());
+        owner.start();
+        io.execute(watch::begin);
+    }
+
+    void serve() {
+        front.listen();
+        phase = Phase.SERVING;
+        LOG.info("serving");
+    }
+
+    /** Takes clients as long as they come, answers all that was taken, and returns. */
+    void drain() throws InterruptedException {
+        phase = Phase.DRAINING;
+        LOG.info("draining");
+        front.drain();
+        double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
+        while (clock.now() < began + STRAGGLERS
+                || !front.isQuietSince(clock.now() - QUIET) && clock.now() < last) {
+            Thread.sleep(10);
+        }
+        front.close();
+        owner.stop();
+        phase = Phase.STOPPED;
+        LOG.info("stopped");
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    /** Carries the owner's wishes to the I/O thread. */
+    private final class Sockets implements Hands {
+        private final XnioIoThread io;
+        private Backends backends;
+
+        Sockets(XnioIoThread io) {
+            this.io = io;
+        }
+
+        @Override
+        public void send(Forward f, Taken taken, InetSocketAddress to) {
+            io.execute(() -> backends.send(f, taken, to));
+        }
+
+        @Override
+        public void cancel(Forward f) {
+            io.execute(() -> backends.cancel(f));
+        }
+
+        @Override
+        public void probe(int backend, InetSocketAddress to) {
+            io.execute(() -> backends.probe(backend, to));
+        }
+
+        @Override
+        public void list(Turn.ListCall call) {
+            io.execute(() -> watch.asked(call));
+        }
+
+        @Override
+        public void deliver(Taken taken, Answer answer) {
+            io.execute(() -> front.deliver(taken.client(), answer));
+        }
+
+        @Override
+        public void giveUp(Taken taken, boolean shed, double retryAfter) {
+            io.execute(() -> front.giveUp(taken.client(), shed, retryAfter));
+        }
+
+        @Override
+        public void letGo(int backend) {
+            io.execute(() -> backends.letGo(backend));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Taken.java
@@ -0,0 +1,7 @@
+package lemondrift.serve;
+
+import io.undertow.server.HttpServerExchange;
+import lemondrift.model.Exchange;
+
+/** An exchange with its client's side: the request as it came, which the decisions never see. */
+record Taken(Exchange exchange, HttpServerExchange client, byte[] body) {}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -0,0 +1,96 @@
+package lemondrift.serve;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.undertow.client.ClientRequest;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import lemondrift.model.Turn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** Keeps the list of backends up to date: the whole list once, then a watch that never ends. I/O thread. */
+final class Watch {
+    private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
+    private static final int MOST_LIST = 4 << 20;
+    /** How long discovery may hold a watch, how much later silence is no answer, and a pause after failure. */
+    private static final double HOLD = 4, SLACK = 1, PAUSE = 0.5;
+
+    private final Links links;
+    private final Config config;
+    private final XnioIoThread io;
+    private final Owner owner;
+    private final boolean onRequest;
+    private long revision = -1;
+    private boolean calling;
+
+    Watch(Config config, Clock clock, XnioIoThread io, ByteBufferPool buffers, Owner owner) {
+        this.config = config;
+        this.io = io;
+        this.owner = owner;
+        onRequest = config.settings().listOnRequest();
+        links = new Links(config.discovery(), new Dialler(io), buffers, clock, new Links.Budget(4), 4);
+    }
+
+    /** Where lists are told unasked the watch runs from the start; elsewhere the decisions begin it. */
+    void begin() {
+        if (!onRequest) {
+            call();
+        }
+    }
+
+    void asked(Turn.ListCall call) {
+        if (call == Turn.ListCall.WHOLE) {
+            revision = -1;
+        }
+        call();
+    }
+
+    private void call() {
+        if (calling) {
+            return;
+        }
+        calling = true;
+        String path = "/v1/servers" + (revision < 0 ? "" : "?from=" + revision + "&hold_ms="
+                + Math.round(HOLD * 1000));
+        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
+        request.getRequestHeaders().put(Headers.HOST, config.discovery().getHostString());
+        if (Call.begin(links, request, new byte[0], MOST_LIST, SLACK, revision < 0 ? SLACK : HOLD + SLACK,
+                this::answered) == null) {
+            failed("no connection free");
+        }
+    }
+
+    private void answered(Answer answer) {
+        if (answer.status() != Answer.OK) {
+            failed("status " + answer.status());
+            return;
+        }
+        try {
+            JsonObject list = JsonParser.parseString(new String(answer.body(), StandardCharsets.UTF_8))
+                    .getAsJsonObject();
+            revision = list.get("revision").getAsLong();
+            owner.listed(list, false);
+            calling = false;
+            // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
+            call();
+        } catch (RuntimeException e) {
+            failed(e.toString());
+        }
+    }
+
+    /** Danger: an agent that answers nonsense at once would be asked without a pause. */
+    private void failed(String why) {
+        LOG.info("list call failed: {}", why);
+        calling = false;
+        if (onRequest) {
+            owner.listFailed();
+        } else {
+            io.executeAfter(this::call, Math.round(PAUSE * 1e9), TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- a/src/main/java/lemondrift/drill/BadInput.java
+++ b/src/main/java/lemondrift/settings/BadInput.java
@@ -1,10 +1,10 @@
-package lemondrift.drill;
+package lemondrift.settings;
 
 /** Input that cannot be read; the message says what and where. */
-final class BadInput extends RuntimeException {
+public final class BadInput extends RuntimeException {
     private static final long serialVersionUID = 1;
 
-    BadInput(String message) {
+    public BadInput(String message) {
         super(message);
     }
 }
--- a/src/main/java/lemondrift/drill/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package lemondrift.drill;
+package lemondrift.settings;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -10,24 +10,27 @@
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Settings;
 
-/** Turns the path=value lines of a first message into Settings; unknown keys are passed over. */
-final class SettingsReader {
-    private final Map<String, String> pairs = new HashMap<>();
+/** Turns path=value pairs, as both doors have them, into Settings; unknown keys are passed over. */
+public final class SettingsReader {
+    private final Map<String, String> pairs;
 
-    private SettingsReader(String text) {
+    public SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /** Reads one pair a line. */
+    public static Settings read(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int at = line.indexOf('=');
             if (at > 0) {
                 pairs.put(line.substring(0, at).strip(), line.substring(at + 1).strip());
             }
         }
+        return new SettingsReader(pairs).settings();
     }
 
-    static Settings read(String text) {
-        return new SettingsReader(text).settings();
-    }
-
-    private Settings settings() {
+    public Settings settings() {
         List<ServiceGrade> grades = new ArrayList<>();
         for (int i = 0; i < (int) number("serviceGrades.count"); i++) {
             grades.add(grade("serviceGrades." + i + "."));
@@ -40,7 +43,7 @@
             quota[i] = number("realms." + i + ".quotaPerS");
         }
         boolean onRequest = text("membershipMode", "pushed").equals("on_request");
-        return new Settings((int) number("siblings"), text("localities", "").split(",").length,
+        return new Settings((int) number("siblings"), list("localities").size(),
                 (int) number("zone"), onRequest, List.copyOf(grades), quota,
                 number("excessBenefit", 1), reports(),
                 new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
@@ -53,11 +56,16 @@
     }
 
     private Settings.Reports reports() {
-        List<String> names = Arrays.asList(text("report.names", "").split(","));
+        List<String> names = list("report.names");
         return new Settings.Reports(text("report.how", "off").equals("inline"), names.indexOf("util"),
                 names.indexOf(names.contains("inflight") ? "inflight" : "queue"), names.indexOf("qps"));
     }
 
+    /** The values of a list, which are joined by commas. */
+    public List<String> list(String key) {
+        return Arrays.asList(text(key, "").split(","));
+    }
+
     private ServiceGrade grade(String at) {
         return new ServiceGrade(number(at + "benefit"), number(at + "lateBenefit", 0),
                 number(at + "contractTime") / 1000, number(at + "expiry") / 1000,
@@ -75,7 +83,7 @@
                 number(at + "keyTtl", 0) / 1000);
     }
 
-    private String text(String key, String otherwise) {
+    public String text(String key, String otherwise) {
         String value = pairs.getOrDefault(key, otherwise);
         if (value == null) {
             throw new BadInput("setting " + key + ": missing");
@@ -87,11 +95,11 @@
         return text(key, "false").equals("true");
     }
 
-    private double number(String key, double otherwise) {
+    public double number(String key, double otherwise) {
         return pairs.containsKey(key) ? number(key) : otherwise;
     }
 
-    private double number(String key) {
+    public double number(String key) {
         String value = text(key, null);
         try {
             return Double.parseDouble(value);
