Let go of an exchange only after its turn is carried out

Checked: the forward's end reached the decisions and they answered; ruled out the timer and the module. At fault: Owner.ended let go of the exchange inside the call, so that carrying out the answer found no client. Now handle alone does.

--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -56,8 +56,8 @@
     void send(Forward f, Taken taken, InetSocketAddress to) {
         HttpServerExchange client = taken.client();
         String query = client.getQueryString();
-        ClientRequest request = request(client.getRequestMethod(), client.getRequestURI()
-                + (query.isEmpty() ? "" : "?" + query), to);
+        ClientRequest request = new ClientRequest().setMethod(client.getRequestMethod())
+                .setPath(client.getRequestURI() + (query.isEmpty() ? "" : "?" + query));
         copy(client.getRequestHeaders(), request.getRequestHeaders());
         request.getRequestHeaders().put(EXPIRES, Math.round(f.timeOut * 1000));
         if (taken.body().length > 0 || !request.getMethod().equals(Methods.GET)) {
@@ -89,7 +89,8 @@
 
     /** A probe waits as long as a connect may. */
     void probe(int backend, InetSocketAddress to) {
-        ClientRequest request = request(Methods.GET, config.reportNames().isEmpty() ? "/healthz" : "/load", to);
+        String path = config.reportNames().isEmpty() ? "/healthz" : "/load";
+        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, "backend");
         Call call = Call.begin(links(backend, to), request, new byte[0], MOST_BODY, config.connectTimeout(),
                 config.connectTimeout(), answer -> owner.probed(backend, outcome(answer),
@@ -116,10 +117,6 @@
         return known;
     }
 
-    private static ClientRequest request(HttpString method, String path, InetSocketAddress to) {
-        return new ClientRequest().setMethod(method).setPath(path);
-    }
-
     /** Everything but what belongs to one connection. */
     static void copy(HeaderMap from, HeaderMap to) {
         for (HeaderValues values : from) {
@@ -140,7 +137,7 @@
         };
     }
 
-    /** The figures that the settings name, in their order, of TEXT name=value, name=value; null if not all. */
+    /** Reads TEXT name=value, name=value into the figures that the settings name; null if one lacks. */
     private double[] report(String text) {
         if (text == null) {
             return null;
--- a/src/main/java/lemondrift/serve/Clock.java
+++ b/src/main/java/lemondrift/serve/Clock.java
@@ -6,7 +6,7 @@
 
     /** Starts at the Unix time, which starts of backends are told in, and goes on by the monotonic clock. */
     static Clock system() {
-        // Danger: a start told in Unix time must come out the same in every list, or it would seem a new start.
+        // Danger: a start must come out the same in every list, or it would seem a new one each time.
         double origin = System.currentTimeMillis() / 1e3 - System.nanoTime() / 1e9;
         return () -> origin + System.nanoTime() / 1e9;
     }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -71,7 +71,8 @@
     static InetSocketAddress address(String what, String text) {
         int colon = text.lastIndexOf(':');
         try {
-            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(text.substring(0, colon), port);
         } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
             throw new BadInput(what + ": not host:port: " + text);
         }
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -151,7 +151,7 @@
         return current;
     }
 
-    /** Danger: Undertow reads nothing while an answer is awaited, and would not see that a client has gone. */
+    /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
     private static void watchForClose(AbstractServerConnection connection) {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -66,9 +66,7 @@
             if (wins && taken != null) {
                 hands.deliver(taken, answer);
             }
-            Turn turn = balancer.forwardEnded(clock.now(), f, outcome, took, wins || f.exchange.over, report);
-            release(f.exchange);
-            return turn;
+            return balancer.forwardEnded(clock.now(), f, outcome, took, wins || f.exchange.over, report);
         });
     }
 
@@ -83,7 +81,8 @@
     void listed(JsonObject list, boolean stale) {
         put(null, () -> {
             List<Listed> lines = directory.listed(list);
-            Turn turn = balancer.backendsListed(clock.now(), list.get("complete").getAsBoolean(), stale, lines);
+            boolean whole = list.get("complete").getAsBoolean();
+            Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
             return turn;
@@ -106,7 +105,8 @@
         while (!Thread.interrupted()) {
             try {
                 double wait = Math.min(LONGEST_WAIT, wakeAt - clock.now());
-                Event event = wait <= 0 ? queue.poll() : queue.poll((long) (wait * 1e9), TimeUnit.NANOSECONDS);
+                long nanos = (long) (Math.max(0, wait) * 1e9);
+                Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
                 if (event != null) {
                     handle(event);
                 }
@@ -134,6 +134,7 @@
             }
             wakeAt = Math.min(wakeAt, clock.now() + 1);
         }
+        // Danger: letting go of an exchange before the turn is carried out would leave it unanswered.
         if (event.about != null) {
             release(event.about);
         }
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -13,11 +13,11 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
-/** Keeps the list of backends up to date: the whole list once, then a watch that never ends. I/O thread. */
+/** Keeps the list up to date: the whole list once, then one watch. I/O thread only. */
 final class Watch {
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
     private static final int MOST_LIST = 4 << 20;
-    /** How long discovery may hold a watch, how much later silence is no answer, and a pause after failure. */
+    /** How long discovery may hold a watch, how much later silence is no answer, the pause then. */
     private static final double HOLD = 4, SLACK = 1, PAUSE = 0.5;
 
     private final Links links;
