--- a/src/main/java/lemondrift/serve/Dialler.java
+++ b/src/main/java/lemondrift/serve/Dialler.java
@@ -10,8 +10,8 @@
 
 /**
  * An I/O thread that remembers the connection it opened last, since UndertowClient gives out neither a
- * connect that is under way nor the socket. Danger: a connect to a machine that is cut off would hold its descriptor
- * for minutes, and a silent connection that is closed politely would do so for ever.
+ * connect that is under way nor the socket. Danger: a connect to a machine that is cut off would hold its
+ * descriptor for minutes, and a silent connection that is closed politely would do so for ever.
  */
 final class Dialler extends XnioIoThread {
     private final XnioIoThread io;
