Test the real proxy on loopback; no line of a list costs the others; silent clients are let go

Small stand-ins for clients, backends and discovery, port 0, one test for each danger that the code names. Found by them: the watch called again while the worker ended (Watch.stop), and a 413 was held back until the whole body had come. Read over: a list line without an address or id cost the whole list, half a list moved the revision on, a client gone left the drain waiting, and stalled clients held descriptors for ever.

--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -16,10 +16,13 @@
 import java.util.concurrent.TimeUnit;
 import lemondrift.model.Forward;
 import lemondrift.model.Outcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
 /** Forwards, probes and load reports over bounded pools of connections. I/O thread only, but for start. */
 final class Backends {
+    private static final Logger LOG = LoggerFactory.getLogger(Backends.class);
     static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
     private static final HttpString LOAD = new HttpString("Endpoint-Load-Metrics");
     private static final HttpString NEVER_RAN = new HttpString("X-Never-Ran");
@@ -54,6 +57,16 @@
     }
 
     void send(Forward f, Taken taken, InetSocketAddress to) {
+        try {
+            begin(f, taken, to);
+        } catch (RuntimeException e) {
+            // Danger: a forward that never ends would keep its exchange until the expiry.
+            LOG.error("forward not begun", e);
+            owner.ended(f, Outcome.MOOT, 0, null, null);
+        }
+    }
+
+    private void begin(Forward f, Taken taken, InetSocketAddress to) {
         HttpServerExchange client = taken.client();
         String query = client.getQueryString();
         ClientRequest request = new ClientRequest().setMethod(client.getRequestMethod())
@@ -63,9 +76,8 @@
         if (taken.body().length > 0 || !request.getMethod().equals(Methods.GET)) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, taken.body().length);
         }
-        double began = clock.now();
-        // Time that passed in the queues is the exchange's own.
-        double within = f.sent + f.timeOut - began;
+        // The time that passed in the queues is the exchange's own.
+        double within = f.sent + f.timeOut - clock.now();
         Call call = Call.begin(links(f.backend, to), request, taken.body(), MOST_BODY,
                 config.connectTimeout(), within, answer -> {
                     calls.remove(f);
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -166,39 +166,43 @@
     }
 
     private void read(StreamSourceChannel source) {
-        if (done) {
-            return;
+        try {
+            if (!done && drained(source)) {
+                whole();
+            }
+        } catch (IOException e) {
+            broken(false);
         }
+    }
+
+    /** Reads what has come; whether that is all of the answer. */
+    private boolean drained(StreamSourceChannel source) throws IOException {
         try (PooledByteBuffer pooled = links.buffers.allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            for (int got = source.read(buffer); got != -1; got = source.read(buffer)) {
-                if (got == 0) {
-                    source.getReadSetter().set(this::read);
-                    source.resumeReads();
-                    return;
-                }
+            int got = source.read(buffer);
+            for (; got > 0 && read.size() <= most; got = source.read(buffer)) {
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
                 buffer.clear();
                 read.write(bytes);
-                if (read.size() > most) {
-                    broken(false);
-                    return;
-                }
             }
-            whole();
-        } catch (IOException | RuntimeException e) {
-            broken(false);
+            if (got == 0) {
+                source.getReadSetter().set(this::read);
+                source.resumeReads();
+            }
+            if (read.size() > most) {
+                throw new IOException("an answer of over " + most + " bytes");
+            }
+            return got < 0;
         }
     }
 
-    private void whole() {
+    private void whole() throws IOException {
         HeaderMap headers = exchange.getResponse().getResponseHeaders();
         String length = headers.getFirst(Headers.CONTENT_LENGTH);
         if (length != null && !length.equals(String.valueOf(read.size()))) {
-            broken(false);
-            return;
+            throw new IOException("an answer of " + read.size() + " bytes instead of " + length);
         }
         finish();
         // Danger: an answer that came before the request was whole leaves the connection half written.
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -8,9 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import lemondrift.model.Listed;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Backends' ids, which end here, their dense indexes, and where this proxy reaches each. */
 final class Directory {
+    private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
+
     private final List<String> locations;
     private final Map<String, Integer> indexes = new HashMap<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
@@ -23,11 +27,15 @@
         return addresses.get(backend);
     }
 
-    /** The lines of a list in discovery's form; one that can't be read is a RuntimeException. */
+    /** The lines of a list in discovery's form. Danger: one that can't be read must not cost the others. */
     List<Listed> listed(JsonObject list) {
         List<Listed> lines = new ArrayList<>();
         for (JsonElement member : list.getAsJsonArray("members")) {
-            lines.add(line(member.getAsJsonObject()));
+            try {
+                lines.add(line(member.getAsJsonObject()));
+            } catch (RuntimeException e) {
+                LOG.warn("a line of the list is passed over: {}: {}", member, e.toString());
+            }
         }
         return lines;
     }
@@ -41,7 +49,8 @@
         };
         Integer known = indexes.get(id);
         int index = known == null ? addresses.size() : known;
-        InetSocketAddress address = !member.has("host_port") ? null
+        // A backend that has left needs no address.
+        InetSocketAddress address = state == Listed.State.GONE && !member.has("host_port") ? null
                 : Config.address("host_port", member.get("host_port").getAsString());
         if (known == null) {
             indexes.put(id, index);
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -1,5 +1,6 @@
 package lemondrift.serve;
 
+import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
@@ -13,7 +14,9 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import lemondrift.model.Exchange;
 import org.xnio.IoUtils;
 import org.xnio.Options;
@@ -30,11 +33,13 @@
     /** The share of the descriptors for clients' connections; and the longest an exchange may last, in ms. */
     private static final double SHARE = 0.5;
     private static final int LONGEST = 600_000;
+    /** Milliseconds after which a client that says nothing loses its connection, so that none is held up. */
+    private static final int IDLE = 60_000;
     /** What a connection's exchange is, for when it closes; taken out once the exchange is answered. */
     private static final AttachmentKey<Current> CURRENT = AttachmentKey.create(Current.class);
 
     private static final class Current {
-        Exchange exchange;
+        private Exchange exchange;
     }
 
     private final Config config;
@@ -51,12 +56,16 @@
         this.clock = clock;
         this.owner = owner;
         undertow = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
-                .addHttpListener(config.listen().getPort(), config.listen().getHostString(), this::handle)
+                .addHttpListener(config.listen().getPort(), config.listen().getHostString(),
+                        Handlers.httpContinueRead(this::handle))
                 .setSocketOption(Options.TCP_NODELAY, true)
+                .setSocketOption(Options.READ_TIMEOUT, IDLE)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, (int) (SHARE * config.sockets()))
                 .setSocketOption(Options.CONNECTION_LOW_WATER, (int) (SHARE * config.sockets()) - 1)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, IDLE)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
@@ -67,6 +76,10 @@
         undertow.start();
     }
 
+    InetSocketAddress address() {
+        return (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
+    }
+
     /** From now on every answer closes its connection; new ones are still taken. */
     void drain() {
         draining = true;
@@ -90,18 +103,27 @@
         }
         lastArrival = clock.now();
         if (client.getRequestContentLength() > MOST_BODY) {
-            client.setPersistent(false);
-            end(client, 413);
+            tooLarge(client);
             return;
         }
         Receiver receiver = client.getRequestReceiver();
         receiver.setMaxBufferSize(MOST_BODY);
         receiver.receiveFullBytes(this::received, (failed, e) -> {
-            failed.setPersistent(false);
-            end(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400);
+            if (e instanceof Receiver.RequestToLargeException) {
+                tooLarge(failed);
+            } else {
+                failed.setPersistent(false);
+                end(failed, 400);
+            }
         });
     }
 
+    /** Danger: an answer without a body would be held back until all of the request has come. */
+    private void tooLarge(HttpServerExchange client) {
+        client.setPersistent(false);
+        answer(client, 413, "too large".getBytes(StandardCharsets.US_ASCII));
+    }
+
     private void received(HttpServerExchange client, byte[] body) {
         client.dispatch(SameThreadExecutor.INSTANCE, () -> {
             Exchange x = exchange(client.getRequestHeaders());
@@ -113,8 +135,7 @@
             current.exchange = x;
             open++;
             client.addExchangeCompleteListener((done, next) -> {
-                open--;
-                current.exchange = null;
+                ended(current);
                 next.proceed();
             });
             watchForClose((AbstractServerConnection) client.getConnection());
@@ -144,13 +165,21 @@
         Current current = new Current();
         client.getConnection().putAttachment(CURRENT, current);
         client.getConnection().addCloseListener(closed -> {
-            if (current.exchange != null) {
-                owner.left(current.exchange);
+            Exchange x = current.exchange;
+            if (x != null) {
+                ended(current);
+                owner.left(x);
             }
         });
         return current;
     }
 
+    /** Answered, or the client has gone; whichever comes first. */
+    private void ended(Current current) {
+        open -= current.exchange == null ? 0 : 1;
+        current.exchange = null;
+    }
+
     /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
     private static void watchForClose(AbstractServerConnection connection) {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -27,6 +27,7 @@
     private static final double STRAGGLERS = 0.55, QUIET = 0.25;
 
     private final Clock clock = Clock.system();
+    private final XnioWorker worker;
     private final Owner owner;
     private final Front front;
     private final Watch watch;
@@ -34,7 +35,7 @@
     private volatile Phase phase = Phase.STARTING;
 
     Proxy(Config config) throws IOException {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.WORKER_NAME, "io")
                 .set(Options.THREAD_DAEMON, false).getMap());
@@ -72,11 +73,17 @@
             Thread.sleep(10);
         }
         front.close();
+        worker.getIoThread().execute(watch::stop);
         owner.stop();
+        worker.shutdown();
         phase = Phase.STOPPED;
         LOG.info("stopped");
     }
 
+    InetSocketAddress address() {
+        return front.address();
+    }
+
     Phase phase() {
         return phase;
     }
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -18,7 +18,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
     private static final int MOST_LIST = 4 << 20;
     /** How long discovery may hold a watch, how much later silence is no answer, the pause then. */
-    private static final double HOLD = 4, SLACK = 1, PAUSE = 0.5;
+    private static final double HOLD = 4, SLACK = 1, PAUSE = 0.1;
 
     private final Links links;
     private final Config config;
@@ -26,7 +26,8 @@
     private final Owner owner;
     private final boolean onRequest;
     private long revision = -1;
-    private boolean calling;
+    private boolean stopped;
+    private Call call;
 
     Watch(Config config, Clock clock, XnioIoThread io, ByteBufferPool buffers, Owner owner) {
         this.config = config;
@@ -51,21 +52,29 @@
     }
 
     private void call() {
-        if (calling) {
+        if (call != null || stopped) {
             return;
         }
-        calling = true;
         String path = "/v1/servers" + (revision < 0 ? "" : "?from=" + revision + "&hold_ms="
                 + Math.round(HOLD * 1000));
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, config.discovery().getHostString());
-        if (Call.begin(links, request, new byte[0], MOST_LIST, SLACK, revision < 0 ? SLACK : HOLD + SLACK,
-                this::answered) == null) {
+        call = Call.begin(links, request, new byte[0], MOST_LIST, SLACK, revision < 0 ? SLACK : HOLD + SLACK,
+                this::answered);
+        if (call == null) {
             failed("no connection free");
         }
     }
 
+    void stop() {
+        stopped = true;
+        if (call != null) {
+            call.abandon();
+        }
+    }
+
     private void answered(Answer answer) {
+        call = null;
         if (answer.status() != Answer.OK) {
             failed("status " + answer.status());
             return;
@@ -73,9 +82,11 @@
         try {
             JsonObject list = JsonParser.parseString(new String(answer.body(), StandardCharsets.UTF_8))
                     .getAsJsonObject();
+            // Danger: a revision taken from half a list would never be asked for again.
+            list.get("members").getAsJsonArray();
+            list.get("complete").getAsBoolean();
             revision = list.get("revision").getAsLong();
             owner.listed(list, false);
-            calling = false;
             // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
             call();
         } catch (RuntimeException e) {
@@ -86,7 +97,6 @@
     /** Danger: an agent that answers nonsense at once would be asked without a pause. */
     private void failed(String why) {
         LOG.info("list call failed: {}", why);
-        calling = false;
         if (onRequest) {
             owner.listFailed();
         } else {
--- /dev/null
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -0,0 +1,414 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real proxy on loopback, between stand-ins for clients, backends and discovery. */
+class ProxyTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String HALF = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nbo";
+    private static final String NEVER_RAN = "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0"
+            + "\r\n\r\n";
+    /** What a stand-in does in place of an answer. */
+    private static final String CLOSE = "close", SILENCE = "silence";
+
+    private final List<StandIn> standIns = new ArrayList<>();
+    private final LinkedBlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private final HttpClient http = HttpClient.newHttpClient();
+    private StandIn discovery;
+    private Proxy proxy;
+
+    /** A scripted HTTP server; it notes whole requests, and connections that the other side has closed. */
+    private final class StandIn {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final LinkedBlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        final CountDownLatch left = new CountDownLatch(1);
+        final Function<String, String> script;
+
+        StandIn(Function<String, String> script) throws IOException {
+            this.script = script;
+            standIns.add(this);
+            daemon(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    daemon(() -> serve(socket));
+                }
+            });
+        }
+
+        int port() {
+            return server.getLocalPort();
+        }
+
+        private void serve(Socket socket) throws IOException {
+            try (socket) {
+                for (String request = read(socket); request != null; request = read(socket)) {
+                    if (!request.startsWith("GET /load")) {
+                        requests.add(request);
+                    }
+                    String answer = script.apply(request);
+                    if (answer.equals(CLOSE)) {
+                        return;
+                    } else if (!answer.equals(SILENCE)) {
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                    if (answer.equals(HALF)) {
+                        return;
+                    }
+                }
+            } finally {
+                left.countDown();
+            }
+        }
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception e) {
+                // The stand-in is closed, or the other side is.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One message, head and body; null where the connection ends. */
+    private static String read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            text.append((char) c);
+        }
+        String head = text.toString().toLowerCase();
+        int at = head.indexOf("content-length: ");
+        int length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
+        return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String list(int revision, boolean whole, String... members) {
+        return "{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":["
+                + String.join(",", members) + "]}";
+    }
+
+    private static String member(int backend, int port, String phase) {
+        return "{\"id\":\"s-" + backend + "\",\"host_port\":\"127.0.0.1:" + port + "\",\"locality\":\"a\","
+                + "\"flavor\":\"m\",\"cell\":0,\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
+    }
+
+    private static String http(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String config(int discovery, boolean probes) {
+        String grade = "\"contractTime\":400,\"expiry\":2000,\"benefit\":1,";
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},\"settings\":{\"siblings\":1,"
+                + "\"zone\":0,\"localities\":[\"a\"],\"membershipMode\":\"pushed\","
+                + "\"limits\":{\"mayCancel\":true,\"probes\":" + probes
+                + ",\"mostForwards\":4,\"retryAfter\":true,\"maxRetryAfter\":500,"
+                + "\"connIdle\":10000,\"connectTimeout\":250},\"invariants\":{\"coldFrom\":0.3,\"cold\":8000,"
+                + "\"fallMultiple\":3,\"overloadFor\":2000},\"report\":{\"how\":\"inline\",\"names\":"
+                + "[\"queue\",\"util\"]},\"charges\":{\"probe\":0.001},\"serviceGrades\":[{\"name\":\"look\","
+                + grade + "\"effect\":\"retryable\"},{\"name\":\"order\"," + grade
+                + "\"effect\":\"fragile\"}]}}";
+    }
+
+    private void start(boolean probes, int... ports) throws Exception {
+        String[] members = IntStream.range(0, ports.length).mapToObj(i -> member(i, ports[i], "active"))
+                .toArray(String[]::new);
+        discovery = new StandIn(request -> {
+            try {
+                return !request.contains("?") ? http(list(1, true, members)) : news.take();
+            } catch (InterruptedException e) {
+                return CLOSE;
+            }
+        });
+        proxy = new Proxy(Config.read(config(discovery.port(), probes)));
+        proxy.serve();
+        // The watch has begun, so the list has been told.
+        awaitWatch("from=1");
+    }
+
+    private void awaitWatch(String from) throws InterruptedException {
+        for (String asked = ""; !asked.contains(from); ) {
+            asked = discovery.requests.take();
+        }
+    }
+
+    private void start(StandIn... backends) throws Exception {
+        start(false, List.of(backends).stream().mapToInt(StandIn::port).toArray());
+    }
+
+    private StandIn backend(Function<String, String> script) throws IOException {
+        return new StandIn(script);
+    }
+
+    private StandIn backend(String always) throws IOException {
+        return new StandIn(request -> always);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        news.add(CLOSE);
+        if (proxy != null && proxy.phase() == Proxy.Phase.SERVING) {
+            proxy.drain();
+        }
+        for (StandIn each : standIns) {
+            each.server.close();
+        }
+    }
+
+    private HttpRequest.Builder request(String grade) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + proxy.address().getPort()
+                + "/api/x%20y?q=1")).header("X-Trace-Id", "abc").header("X-Qos", grade)
+                .header("X-Expires-In-Ms", "2000");
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> look() throws Exception {
+        return send(request("look"));
+    }
+
+    private HttpResponse<String> order(String body) throws Exception {
+        return send(request("order").POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    @Test
+    void whatGoesOnUnchangedDoes() throws Exception {
+        StandIn backend = backend(OK);
+        start(backend);
+        HttpResponse<String> answer = order("b\u00e4ll".repeat(9000));
+        assertEquals(200, answer.statusCode());
+        assertEquals("body", answer.body());
+        String got = backend.requests.take();
+        assertTrue(got.startsWith("POST /api/x%20y?q=1 HTTP/1.1\r\n"), got.substring(0, 200));
+        assertTrue(got.contains("X-Trace-Id: abc\r\n"));
+        assertTrue(got.matches("(?s).*X-Expires-In-Ms: [1-4]?\\d?\\d\r\n.*"), "no longer than the contract time");
+        assertTrue(got.endsWith(new String("b\u00e4ll".getBytes(StandardCharsets.UTF_8),
+                StandardCharsets.ISO_8859_1)));
+        assertEquals(200, look().statusCode());
+        assertTrue(backend.requests.take().startsWith("GET /api/x%20y?q=1 "));
+    }
+
+    @Test
+    void aBrokenAnswerIsForwardedAgainWhereItMayRunTwice() throws Exception {
+        StandIn broken = backend(HALF);
+        start(broken, backend(OK));
+        for (int i = 0; i < 4; i++) {
+            assertEquals("body", look().body());
+        }
+    }
+
+    @Test
+    void whatMayHaveRunIsScrappedAndNotSentAgain() throws Exception {
+        StandIn one = backend(CLOSE), other = backend(HALF);
+        start(one, other);
+        HttpResponse<String> answer = order("x");
+        assertEquals(502, answer.statusCode());
+        assertTrue(answer.headers().firstValue("Retry-After").isEmpty());
+        assertEquals(1, one.requests.size() + other.requests.size());
+    }
+
+    @Test
+    void aPooledConnectionThatBreaksIsNoLicenceToResend() throws Exception {
+        int[] count = {0};
+        StandIn backend = backend(request -> ++count[0] == 2 ? CLOSE : OK);
+        start(backend);
+        assertEquals(200, order("x").statusCode());
+        assertEquals(502, order("x").statusCode());
+        assertEquals(2, backend.requests.size());
+        assertEquals(200, order("x").statusCode());
+    }
+
+    @Test
+    void refusedAndMarkedNeverRanGoElsewhere() throws Exception {
+        StandIn full = backend(NEVER_RAN), sound = backend(OK), closed = backend(OK);
+        closed.server.close();
+        start(full, closed, sound);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+        assertEquals(2, sound.requests.size());
+    }
+
+    @Test
+    void aSilentBackendIsGivenUpAndTheClientAnswered() throws Exception {
+        StandIn silent = backend(SILENCE);
+        start(silent);
+        assertEquals(503, look().statusCode(), "a retry is harmless");
+        assertEquals(502, order("x").statusCode(), "a retry may be a second effect");
+        assertTrue(silent.left.await(5, TimeUnit.SECONDS), "an attempt given up has its connection closed");
+    }
+
+    @Test
+    void noBackendAtAllIsShedAtOnce() throws Exception {
+        start();
+        assertEquals(503, order("x").statusCode());
+    }
+
+    @Test
+    void aClientThatGoesIsNoticed() throws Exception {
+        StandIn silent = backend(SILENCE);
+        start(silent);
+        try (Socket client = new Socket("127.0.0.1", proxy.address().getPort())) {
+            client.getOutputStream().write(("GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: look\r\n"
+                    + "X-Expires-In-Ms: 600000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            assertNotNull(silent.requests.poll(5, TimeUnit.SECONDS));
+        }
+        assertTrue(silent.left.await(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void requestsSentAheadAreAnsweredInTurn() throws Exception {
+        start(backend(OK));
+        String one = "GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: look\r\n"
+                + "X-Expires-In-Ms: 900\r\n\r\n";
+        try (Socket client = new Socket("127.0.0.1", proxy.address().getPort())) {
+            client.getOutputStream().write((one + one + one).getBytes(StandardCharsets.US_ASCII));
+            for (int i = 0; i < 3; i++) {
+                assertTrue(read(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    void badInputIsTheClientsFault() throws Exception {
+        StandIn backend = backend(OK);
+        start(backend);
+        HttpRequest.Builder bare = HttpRequest.newBuilder(request("look").build().uri());
+        assertEquals(400, send(bare).statusCode());
+        assertEquals(400, send(request("unheard-of")).statusCode());
+        for (String left : List.of("", "-5", "1e3", "99999999999999999999")) {
+            assertEquals(400, send(request("look").setHeader("X-Expires-In-Ms", left)).statusCode(), left);
+        }
+        assertEquals(413, order("x".repeat(64 * 1024 + 1)).statusCode());
+        HttpRequest.BodyPublisher chunked = HttpRequest.BodyPublishers.ofByteArrays(
+                IntStream.range(0, 40).mapToObj(i -> new byte[4096]).collect(Collectors.toList()));
+        assertEquals(413, send(request("order").POST(chunked)).statusCode());
+        assertTrue(backend.requests.isEmpty());
+        assertEquals(200, order("x".repeat(64 * 1024)).statusCode());
+    }
+
+    @Test
+    void anAnswerThatIsTooLargeIsABrokenOne() throws Exception {
+        start(backend(http("x".repeat(64 * 1024 + 1))));
+        assertEquals(502, order("x").statusCode());
+    }
+
+    @Test
+    void loadReportsDecide() throws Exception {
+        StandIn busy = backend(request -> request.startsWith("GET /load")
+                ? http("TEXT queue=9, util=1.0") : OK);
+        StandIn idle = backend(request -> request.startsWith("GET /load") ? http("TEXT queue=0, util=0.1")
+                : OK.replace("\r\nC", "\r\nEndpoint-Load-Metrics: TEXT queue=0, util=0.1\r\nC"));
+        start(true, busy.port(), idle.port());
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+        assertEquals(10, idle.requests.size());
+    }
+
+    @Test
+    void aDrainToldTakesEffectAndNonsenseIsSurvived() throws Exception {
+        StandIn first = backend(OK), second = backend(OK);
+        start(first, second);
+        news.add(http("{\"revision\":2}"));
+        news.add(http("nonsense"));
+        news.add(http(list(3, false, "{\"id\":\"s-9\",\"phase\":\"active\"}", member(0, first.port(),
+                "leaving"))));
+        news.add(SILENCE);
+        awaitWatch("from=3");
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+        assertEquals(6, second.requests.size());
+    }
+
+    @Test
+    void aDrainTakesNewClientsAnswersAllAndStops() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        StandIn backend = backend(request -> {
+            try {
+                return go.await(5, TimeUnit.SECONDS) ? OK : CLOSE;
+            } catch (InterruptedException e) {
+                return CLOSE;
+            }
+        });
+        start(backend);
+        var before = http.sendAsync(request("look").build(), HttpResponse.BodyHandlers.ofString());
+        assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+        int port = proxy.address().getPort();
+        Thread drain = new Thread(() -> {
+            try {
+                proxy.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        drain.start();
+        while (proxy.phase() != Proxy.Phase.DRAINING) {
+            Thread.onSpinWait();
+        }
+        var late = http.sendAsync(request("look").build(), HttpResponse.BodyHandlers.ofString());
+        go.countDown();
+        assertEquals(200, before.get().statusCode());
+        assertEquals(200, late.get().statusCode());
+        assertEquals("close", late.get().headers().firstValue("Connection").orElse(""));
+        drain.join();
+        assertEquals(Proxy.Phase.STOPPED, proxy.phase());
+        assertThrows(IOException.class, () -> new Socket("127.0.0.1", port).close());
+    }
+
+    @Test
+    void badConfigurationIsOneLineAndExitOne(@TempDir Path folder) throws Exception {
+        List<String> bad = List.of("", "[]", "{", "{\"listen\":\"nowhere\"}",
+                "{\"listen\":3,\"settings\":{}}", config(1, false).replace("retryable", "dubious"),
+                config(1, false).replace("8c1f", "wxyz"));
+        for (String text : bad) {
+            Path file = Files.writeString(folder.resolve("config.json"), text);
+            ByteArrayOutputStream err = new ByteArrayOutputStream();
+            assertEquals(1, Serve.run(Map.of("PROXY_CONFIG", file.toString()), new PrintStream(err)), text);
+            assertEquals(1, err.toString().lines().count(), err.toString());
+        }
+        assertEquals(1, Serve.run(Map.of(), new PrintStream(new ByteArrayOutputStream())));
+    }
+}
