--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -222,7 +222,7 @@
         String got = backend.requests.take();
         assertTrue(got.startsWith("POST /api/x%20y?q=1 HTTP/1.1\r\n"), got.substring(0, 200));
         assertTrue(got.contains("X-Trace-Id: abc\r\n"));
-        assertTrue(got.matches("(?s).*X-Expires-In-Ms: [1-4]?\\d?\\d\r\n.*"), "no longer than the contract time");
+        assertTrue(got.matches("(?s).*X-Expires-In-Ms: [1-4]?\\d?\\d\r\n.*"), "the contract time at most");
         assertTrue(got.endsWith(new String("b\u00e4ll".getBytes(StandardCharsets.UTF_8),
                 StandardCharsets.ISO_8859_1)));
         assertEquals(200, look().statusCode());
