Real proxy: bounds set descriptors aside, drained pools retire, lists asked for where none is known

Read over, found and mended: connections might have used up a small descriptor limit, as nothing was set aside for libraries and the listener; pools of backends that have left stayed for ever; a proxy on a deployment with lists on request that was told no list would never have asked for one; an Error would have ended the owner's thread. Tests for the second and third.

--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -30,7 +30,7 @@
             Headers.TRAILER, Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.EXPECT,
             Headers.CONTENT_LENGTH, EXPIRES, LOAD);
     private static final int MOST_BODY = 64 * 1024;
-    /** The share of the descriptors for connections to all backends, and of those for one. */
+    /** The share of the proxy's connections that go to backends, and of those the share for one. */
     private static final double SHARE = 0.4, MOST_OF_THEM = 0.25;
     /** Idle connections are closed at this share of the time after which a backend does so. */
     private static final double IDLE_SHARE = 0.5;
@@ -50,7 +50,7 @@
         this.dialler = new Dialler(io);
         this.buffers = buffers;
         this.owner = owner;
-        budget = new Links.Budget((int) (SHARE * config.sockets()));
+        budget = new Links.Budget((int) (SHARE * config.connections()));
         double limit = IDLE_SHARE * config.idle();
         io.executeAtInterval(() -> links.values().forEach(l -> l.closeIdleSince(clock.now() - limit)),
                 (long) (limit * 1e9 / 8), TimeUnit.NANOSECONDS);
@@ -113,8 +113,9 @@
     }
 
     void letGo(int backend) {
-        if (links.containsKey(backend)) {
-            links.get(backend).closeIdleSince(Double.POSITIVE_INFINITY);
+        Links known = links.remove(backend);
+        if (known != null) {
+            known.retire();
         }
     }
 
@@ -122,7 +123,7 @@
         Links known = links.get(backend);
         if (known == null || !known.address.equals(to)) {
             letGo(backend);
-            int most = (int) (MOST_OF_THEM * SHARE * config.sockets());
+            int most = (int) (MOST_OF_THEM * SHARE * config.connections());
             known = new Links(to, dialler, buffers, clock, budget, most);
             links.put(backend, known);
         }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -18,6 +18,13 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
         List<String> reportNames, double idle, double connectTimeout, JsonObject known) {
+    /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
+    private static final int OTHERS = 64;
+
+    /** How many connections the proxy may hold. */
+    int connections() {
+        return Math.max(OTHERS, sockets - OTHERS);
+    }
 
     static Config read(String json) {
         try {
@@ -43,7 +50,15 @@
                 (int) all.number("limits.sockets", 1024), reader.settings(), names(inner, "serviceGrades"),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
-                reader.number("limits.connectTimeout", 250) / 1000, json.getAsJsonObject("known"));
+                reader.number("limits.connectTimeout", 250) / 1000, known(json));
+    }
+
+    /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
+    private static JsonObject known(JsonObject json) {
+        JsonObject none = new JsonObject();
+        none.addProperty("complete", true);
+        none.add("members", new JsonArray());
+        return json.has("known") ? json.getAsJsonObject("known") : none;
     }
 
     private static List<String> names(Map<String, String> pairs, String list) {
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -53,6 +53,7 @@
         InetSocketAddress address = state == Listed.State.GONE && !member.has("host_port") ? null
                 : Config.address("host_port", member.get("host_port").getAsString());
         if (known == null) {
+            LOG.info("backend {} is {} at {}", index, id, address);
             indexes.put(id, index);
             addresses.add(address);
         } else if (address != null) {
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -30,8 +30,8 @@
     private static final HttpString TENANT = new HttpString("X-Customer");
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
-    /** The share of the descriptors for clients' connections; and the longest an exchange may last, in ms. */
-    private static final double SHARE = 0.5;
+    /** The share of the proxy's connections that clients may have; and an exchange's longest time, in ms. */
+    private static final double SHARE = 0.55;
     private static final int LONGEST = 600_000;
     /** Milliseconds after which a client that says nothing loses its connection, so that none is held up. */
     private static final int IDLE = 60_000;
@@ -55,14 +55,15 @@
         this.config = config;
         this.clock = clock;
         this.owner = owner;
+        int most = (int) (SHARE * config.connections());
         undertow = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
                 .addHttpListener(config.listen().getPort(), config.listen().getHostString(),
                         Handlers.httpContinueRead(this::handle))
                 .setSocketOption(Options.TCP_NODELAY, true)
                 .setSocketOption(Options.READ_TIMEOUT, IDLE)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, (int) (SHARE * config.sockets()))
-                .setSocketOption(Options.CONNECTION_LOW_WATER, (int) (SHARE * config.sockets()) - 1)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, most - 1)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, IDLE)
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -45,6 +45,7 @@
     private final int most;
     private final Deque<Link> idle = new ArrayDeque<>();
     private int open;
+    private boolean retired;
 
     Links(InetSocketAddress address, Dialler dialler, ByteBufferPool buffers, Clock clock, Budget budget,
             int most) {
@@ -93,12 +94,20 @@
     }
 
     void back(Link link) {
-        if (link.connection.isOpen()) {
+        if (retired) {
+            link.close();
+        } else if (link.connection.isOpen()) {
             link.idleSince = clock.now();
             idle.addFirst(link);
         }
     }
 
+    /** No more is sent here: idle connections are closed now, busy ones when their request has ended. */
+    void retire() {
+        retired = true;
+        closeIdleSince(Double.POSITIVE_INFINITY);
+    }
+
     /** Closes what has stood idle since before a time. */
     void closeIdleSince(double time) {
         while (!idle.isEmpty() && idle.peekLast().idleSince <= time) {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -126,7 +126,7 @@
             if (turn != null) {
                 carryOut(turn);
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("event failed", e);
             if (event.about != null && !event.about.over) {
                 event.about.over = true;
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -48,9 +48,7 @@
         front = new Front(config, clock, worker, buffers, owner);
         watch = new Watch(config, clock, io, buffers, owner);
         sockets.backends = new Backends(config, clock, io, buffers, owner);
-        if (config.known() != null) {
-            owner.listed(config.known(), true);
-        }
+        owner.listed(config.known(), true);
         LOG.info("{} starts, listens on {}", config.name(), config.listen());
         owner.start();
         io.execute(watch::begin);
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -86,6 +86,9 @@
             list.get("members").getAsJsonArray();
             list.get("complete").getAsBoolean();
             revision = list.get("revision").getAsLong();
+            if (!list.getAsJsonArray("members").isEmpty()) {
+                LOG.info("list of revision {}: {}", revision, list.getAsJsonArray("members").size());
+            }
             owner.listed(list, false);
             // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
             call();
@@ -96,7 +99,7 @@
 
     /** Danger: an agent that answers nonsense at once would be asked without a pause. */
     private void failed(String why) {
-        LOG.info("list call failed: {}", why);
+        LOG.info("list call failed, asking again: {}", why);
         if (onRequest) {
             owner.listFailed();
         } else {
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -33,6 +33,7 @@
 class ProxyTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
     private static final String HALF = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nbo";
+    private static final String CHUNKS = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n";
     private static final String NEVER_RAN = "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0"
             + "\r\n\r\n";
     /** What a stand-in does in place of an answer. */
@@ -41,6 +42,7 @@
     private final List<StandIn> standIns = new ArrayList<>();
     private final LinkedBlockingQueue<String> news = new LinkedBlockingQueue<>();
     private final HttpClient http = HttpClient.newHttpClient();
+    private String lists = "pushed";
     private StandIn discovery;
     private Proxy proxy;
 
@@ -78,7 +80,7 @@
                     } else if (!answer.equals(SILENCE)) {
                         socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                     }
-                    if (answer.equals(HALF)) {
+                    if (answer.equals(HALF) || answer.equals(CHUNKS) || answer.contains("close\r\n")) {
                         return;
                     }
                 }
@@ -135,11 +137,11 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    private static String config(int discovery, boolean probes) {
+    private String config(int discovery, boolean probes) {
         String grade = "\"contractTime\":400,\"expiry\":2000,\"benefit\":1,";
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},\"settings\":{\"siblings\":1,"
-                + "\"zone\":0,\"localities\":[\"a\"],\"membershipMode\":\"pushed\","
+                + "\"zone\":0,\"localities\":[\"a\"],\"membershipMode\":\"" + lists + "\","
                 + "\"limits\":{\"mayCancel\":true,\"probes\":" + probes
                 + ",\"mostForwards\":4,\"retryAfter\":true,\"maxRetryAfter\":500,"
                 + "\"connIdle\":10000,\"connectTimeout\":250},\"invariants\":{\"coldFrom\":0.3,\"cold\":8000,"
@@ -248,6 +250,24 @@
         assertEquals(1, one.requests.size() + other.requests.size());
     }
 
+    @Test
+    void eachWayToEndAnAnswerIsUnderstood() throws Exception {
+        StandIn backend = backend(request -> switch (request.replaceAll("(?s).*\r\n", "")) {
+            case "chunked" -> CHUNKS + "2\r\ndy\r\n0\r\n\r\n";
+            case "chunked, cut" -> CHUNKS;
+            case "closed" -> "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+            case "empty" -> OK.replace("4\r\n\r\nbody", "0\r\n\r\n");
+            default -> "HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n";
+        });
+        start(backend);
+        assertEquals("body", order("chunked").body());
+        assertEquals("body", order("closed").body());
+        assertEquals("", order("empty").body());
+        assertEquals(502, order("chunked, cut").statusCode());
+        assertEquals(502, order("unmarked").statusCode(), "a 504 without the mark may have run");
+        assertEquals(5, backend.requests.size());
+    }
+
     @Test
     void aPooledConnectionThatBreaksIsNoLicenceToResend() throws Exception {
         int[] count = {0};
@@ -351,6 +371,10 @@
     void aDrainToldTakesEffectAndNonsenseIsSurvived() throws Exception {
         StandIn first = backend(OK), second = backend(OK);
         start(first, second);
+        while (first.requests.isEmpty()) {
+            assertEquals(200, look().statusCode());
+        }
+        second.requests.clear();
         news.add(http("{\"revision\":2}"));
         news.add(http("nonsense"));
         news.add(http(list(3, false, "{\"id\":\"s-9\",\"phase\":\"active\"}", member(0, first.port(),
@@ -361,6 +385,14 @@
             assertEquals(200, order("x").statusCode());
         }
         assertEquals(6, second.requests.size());
+        assertTrue(first.left.await(5, TimeUnit.SECONDS), "its idle connections are closed");
+    }
+
+    @Test
+    void whereListsComeOnRequestTheDecisionsAskEvenIfNoneIsKnown() throws Exception {
+        lists = "on_request";
+        start(backend(OK));
+        assertEquals(200, order("x").statusCode());
     }
 
     @Test
