Test the owner without sockets; what Undertow has read ahead is not read past

Read over: a client that sends several requests ahead, with more coming while the first is out, would have lost the ones that Undertow had buffered (Front.watchForClose). Owner tests: an error in one exchange ends that exchange alone, late answers are dropped, a drain told lets go.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -14,6 +14,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -108,30 +109,23 @@
         String coding = client.getRequestHeaders().getFirst(Headers.TRANSFER_ENCODING);
         if (coding != null && !coding.equalsIgnoreCase("chunked")
                 || client.getRequestMethod().equals(Methods.CONNECT)) {
-            client.setPersistent(false);
-            answer(client, 400, "malformed".getBytes(StandardCharsets.US_ASCII));
+            reject(client, 400);
             return;
         }
         if (client.getRequestContentLength() > MOST_BODY) {
-            tooLarge(client);
+            reject(client, 413);
             return;
         }
         Receiver receiver = client.getRequestReceiver();
         receiver.setMaxBufferSize(MOST_BODY);
-        receiver.receiveFullBytes(this::received, (failed, e) -> {
-            if (e instanceof Receiver.RequestToLargeException) {
-                tooLarge(failed);
-            } else {
-                failed.setPersistent(false);
-                end(failed, 400);
-            }
-        });
+        receiver.receiveFullBytes(this::received, (failed, e) ->
+                reject(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400));
     }
 
     /** Danger: an answer without a body would be held back until all of the request has come. */
-    private void tooLarge(HttpServerExchange client) {
+    private void reject(HttpServerExchange client, int status) {
         client.setPersistent(false);
-        answer(client, 413, "too large".getBytes(StandardCharsets.US_ASCII));
+        answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII));
     }
 
     private void received(HttpServerExchange client, byte[] body) {
@@ -195,6 +189,10 @@
 
     /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
     private static void watchForClose(AbstractServerConnection connection) {
+        // Danger: what Undertow has read ahead already would be lost to what is read here.
+        if (connection.getExtraBytes() != null) {
+            return;
+        }
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
             PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
--- /dev/null
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -0,0 +1,123 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonParser;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lemondrift.decide.Balancer;
+import lemondrift.model.*;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The owner without sockets, its clock in the test's hand. */
+class OwnerTest implements Hands {
+    private static final Settings SETTINGS = new Settings(1, 1, 0, false,
+            List.of(new ServiceGrade(1, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0)), new double[0], 1,
+            new Settings.Reports(false, -1, -1, -1), new Settings.Limits(true, false, 4, 0.5),
+            new Settings.Rules(0.25, 8, 3, 2, 10), new Settings.Charges(0, 0));
+    private static final Answer DELIVERED = new Answer(Answer.OK, null, new byte[0], true, false);
+
+    private final LinkedBlockingQueue<String> did = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Forward> sends = new LinkedBlockingQueue<>();
+    private volatile double now = 1000;
+    private volatile boolean failing;
+    private final Owner owner = new Owner(new Balancer(SETTINGS, 7), new Directory(List.of("a")), () -> now,
+            this);
+
+    private Forward arrive(long id) throws InterruptedException {
+        owner.arrived(new Taken(new Exchange(id, 0, 0, now, 2), null, new byte[0]));
+        return sends.poll(5, TimeUnit.SECONDS);
+    }
+
+    private void list(String phase) {
+        owner.listed(JsonParser.parseString("{\"complete\":true,\"members\":[{\"id\":\"s-1\",\"phase\":"
+                + "\"" + phase + "\",\"host_port\":\"127.0.0.1:1\"}]}").getAsJsonObject(), false);
+    }
+
+    private String next() throws InterruptedException {
+        return did.poll(5, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() {
+        owner.stop();
+    }
+
+    @Test
+    void anErrorInOneExchangeEndsThatExchangeAlone() throws Exception {
+        owner.start();
+        list("active");
+        failing = true;
+        owner.arrived(new Taken(new Exchange(1, 0, 0, now, 2), null, new byte[0]));
+        assertEquals("scrapped 1", next());
+        failing = false;
+        owner.ended(arrive(2), Outcome.DELIVERED, 0.1, null, DELIVERED);
+        assertEquals("delivered 2", next());
+    }
+
+    @Test
+    void anExchangeIsAnsweredOnceAndLateAnswersAreDropped() throws Exception {
+        owner.start();
+        list("active");
+        Forward first = arrive(1);
+        now += 1.5;
+        owner.ended(first, Outcome.TIMED_OUT, 1.5, null, null);
+        assertEquals("scrapped 1", next());
+        Forward second = arrive(2);
+        owner.left(second.exchange);
+        assertEquals("cancelled 2", next());
+        owner.ended(second, Outcome.DELIVERED, 0.1, null, DELIVERED);
+        owner.ended(arrive(3), Outcome.DELIVERED, 0.1, null, DELIVERED);
+        assertEquals("delivered 3", next(), "nothing more for the one whose client has gone");
+    }
+
+    @Test
+    void aDrainToldLetsGoAndTheNextIsShed() throws Exception {
+        owner.start();
+        list("leaving");
+        assertEquals("let go", next());
+        owner.arrived(new Taken(new Exchange(1, 0, 0, now, 2), null, new byte[0]));
+        assertEquals("shed 1", next());
+    }
+
+    @Override
+    public void send(Forward f, Taken taken, InetSocketAddress to) {
+        if (failing) {
+            throw new IllegalStateException("made up");
+        }
+        sends.add(f);
+    }
+
+    @Override
+    public void cancel(Forward f) {
+        did.add("cancelled " + f.exchange.id);
+    }
+
+    @Override
+    public void probe(int backend, InetSocketAddress to) {
+        did.add("probe");
+    }
+
+    @Override
+    public void list(Turn.ListCall call) {
+        did.add("list");
+    }
+
+    @Override
+    public void deliver(Taken taken, Answer answer) {
+        did.add("delivered " + taken.exchange().id);
+    }
+
+    @Override
+    public void giveUp(Taken taken, boolean shed, double retryAfter) {
+        did.add((shed ? "shed " : "scrapped ") + taken.exchange().id);
+    }
+
+    @Override
+    public void letGo(int backend) {
+        did.add("let go");
+    }
+}
