--- a/src/main/java/lemondrift/Main.java
+++ b/src/main/java/lemondrift/Main.java
@@ -16,9 +16,11 @@
                     Runtime.getRuntime().halt(code);
                 }
             }
+            case "check" -> System.exit(Serve.check(System.getenv(), System.err));
             case "drill" -> System.exit(Drill.run(System.in, System.out, System.err));
             default -> {
-                System.err.println("usage: lemondrift serve | drill   (the real proxy; the users' bench)");
+                System.err.println("usage: lemondrift serve | check | drill"
+                        + "   (the real proxy; its configuration; the users' bench)");
                 System.exit(2);
             }
         }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -50,11 +50,11 @@
         backends = new Backends(config, clock, io, buffers, owner);
         owner.listed(config.known(), true);
         LOG.info("{} starts, listens on {}", config.name(), config.listen());
-        owner.start();
-        io.execute(watch::begin);
     }
 
     void serve() {
+        owner.start();
+        worker.getIoThread().execute(watch::begin);
         front.listen();
         phase = Phase.SERVING;
         LOG.info("serving");
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.function.Consumer;
 import lemondrift.settings.BadInput;
 
 /** Starts the real proxy from its environment and ends it on SIGTERM. */
@@ -13,15 +14,25 @@
 
     /** Returns an exit code where the proxy can't start, else 0, and the proxy runs on. */
     public static int run(Map<String, String> environment, PrintStream err) {
+        return start(environment, err, proxy -> {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "drain"));
+            proxy.serve();
+        });
+    }
+
+    /** Says whether a proxy can be made of the configuration; opens no socket. */
+    public static int check(Map<String, String> environment, PrintStream err) {
+        return start(environment, err, proxy -> { });
+    }
+
+    private static int start(Map<String, String> environment, PrintStream err, Consumer<Proxy> next) {
         System.setProperty("org.jboss.logging.provider", "slf4j");
         try {
             String file = environment.get("PROXY_CONFIG");
             if (file == null) {
                 throw new BadInput("PROXY_CONFIG is not set");
             }
-            Proxy proxy = new Proxy(Config.read(Files.readString(Path.of(file))));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "drain"));
-            proxy.serve();
+            next.accept(new Proxy(Config.read(Files.readString(Path.of(file)))));
             return 0;
         } catch (IOException | RuntimeException e) {
             err.println("lemondrift serve: " + e.toString().replace('\n', ' '));
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -448,6 +448,7 @@
             Path file = Files.writeString(folder.resolve("config.json"), text);
             ByteArrayOutputStream err = new ByteArrayOutputStream();
             assertEquals(1, Serve.run(Map.of("PROXY_CONFIG", file.toString()), new PrintStream(err)), text);
+            assertEquals(1, Serve.check(Map.of("PROXY_CONFIG", file.toString()), System.err), text);
             assertEquals(1, err.toString().lines().count(), err.toString());
         }
         assertEquals(1, Serve.run(Map.of(), new PrintStream(new ByteArrayOutputStream())));
