A client's connection beyond the bound takes the place of the one idle longest

Read over: beyond 55% of the descriptors less 64 new connections stood in the kernel's queue until others said nothing for 30 s, and what a client had written to them by then was lost. Now the front accepts by itself (Front.accepted, Undertow's HttpOpenListener under it) and closes the connection that has been idle longest. Test: 80 silent connections at a proxy that may hold 35 keep no exchange out; it hung before.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -1,13 +1,13 @@
 package lemondrift.serve;
 
 import io.undertow.Handlers;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.Receiver;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -19,10 +19,16 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import lemondrift.model.Exchange;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
@@ -41,13 +47,23 @@
     private static final AttachmentKey<Current> CURRENT = AttachmentKey.create(Current.class);
 
     private static final class Current {
+        private final StreamConnection connection;
         private Exchange exchange;
+
+        private Current(StreamConnection connection) {
+            this.connection = connection;
+        }
     }
 
     private final Config config;
     private final Clock clock;
     private final Owner owner;
-    private final Undertow undertow;
+    private final XnioWorker worker;
+    private final HttpOpenListener http;
+    private final int most;
+    /** Connections without an exchange, the longest idle first. */
+    private final Set<StreamConnection> idle = new LinkedHashSet<>();
+    private AcceptingChannel<StreamConnection> server;
     private long taken;
     private volatile int open;
     private volatile boolean draining;
@@ -57,30 +73,41 @@
         this.config = config;
         this.clock = clock;
         this.owner = owner;
-        int most = (int) (SHARE * config.connections());
-        undertow = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
-                .addHttpListener(config.listen().getPort(), config.listen().getHostString(),
-                        Handlers.httpContinueRead(this::handle))
-                .setSocketOption(Options.TCP_NODELAY, true)
-                .setSocketOption(Options.READ_TIMEOUT, IDLE)
-                .setSocketOption(Options.REUSE_ADDRESSES, true)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, most - 1)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-                .build();
-    }
-
-    void listen() {
-        undertow.start();
+        this.worker = worker;
+        most = (int) (SHARE * config.connections());
+        http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW).set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
+        http.setRootHandler(Handlers.httpContinueRead(this::handle));
+    }
+
+    void listen() throws IOException {
+        server = worker.createStreamConnectionServer(config.listen(),
+                ChannelListeners.openListenerAdapter(this::accepted), OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.READ_TIMEOUT, IDLE).set(Options.BACKLOG, most)
+                        .set(Options.CONNECTION_HIGH_WATER, most + 1)
+                        .set(Options.CONNECTION_LOW_WATER, most).getMap());
+        server.resumeAccepts();
+    }
+
+    /** Danger: connections that say nothing would keep those out that bring exchanges. */
+    private void accepted(StreamConnection connection) {
+        if (idle.size() + open >= most) {
+            idle.removeIf(known -> !known.isOpen());
+        }
+        if (idle.size() + open >= most && !idle.isEmpty()) {
+            StreamConnection longest = idle.iterator().next();
+            idle.remove(longest);
+            IoUtils.safeClose(longest);
+        }
+        idle.add(connection);
+        http.handleEvent(connection);
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
+        return server.getLocalAddress(InetSocketAddress.class);
     }
 
     /** From now on every answer closes its connection; new ones are still taken. */
@@ -93,7 +120,7 @@
     }
 
     void close() {
-        undertow.stop();
+        IoUtils.safeClose(server);
     }
 
     private void handle(HttpServerExchange client) {
@@ -138,6 +165,7 @@
             Current current = current(client);
             current.exchange = x;
             open++;
+            idle.remove(current.connection);
             client.addExchangeCompleteListener((done, next) -> {
                 ended(current);
                 next.proceed();
@@ -169,7 +197,7 @@
         if (known != null) {
             return known;
         }
-        Current current = new Current();
+        Current current = new Current(((AbstractServerConnection) client.getConnection()).getChannel());
         client.getConnection().putAttachment(CURRENT, current);
         client.getConnection().addCloseListener(closed -> {
             Exchange x = current.exchange;
@@ -183,8 +211,11 @@
 
     /** Answered, or the client has gone; whichever comes first. */
     private void ended(Current current) {
-        open -= current.exchange == null ? 0 : 1;
-        current.exchange = null;
+        if (current.exchange != null) {
+            open--;
+            current.exchange = null;
+            idle.add(current.connection);
+        }
     }
 
     /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -52,7 +52,7 @@
         LOG.info("{} starts, listens on {}", config.name(), config.listen());
     }
 
-    void serve() {
+    void serve() throws IOException {
         owner.start();
         worker.getIoThread().execute(watch::begin);
         front.listen();
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -16,7 +17,11 @@
     public static int run(Map<String, String> environment, PrintStream err) {
         return start(environment, err, proxy -> {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "drain"));
-            proxy.serve();
+            try {
+                proxy.serve();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         });
     }
 
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -317,6 +317,22 @@
         assertTrue(silent.left.await(5, TimeUnit.SECONDS));
     }
 
+    @Test
+    void connectionsThatSayNothingKeepNobodyOut() throws Exception {
+        start(backend(OK));
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 80; i++) {
+            silent.add(new Socket("127.0.0.1", proxy.address().getPort()));
+        }
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+        assertEquals(-1, silent.get(0).getInputStream().read(), "the longest idle is closed");
+        for (Socket each : silent) {
+            each.close();
+        }
+    }
+
     @Test
     void requestsSentAheadAreAnsweredInTurn() throws Exception {
         start(backend(OK));
