--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -76,7 +76,8 @@
         this.worker = worker;
         most = (int) (SHARE * config.connections());
         http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW).set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
@@ -214,7 +215,9 @@
         if (current.exchange != null) {
             open--;
             current.exchange = null;
-            idle.add(current.connection);
+            if (current.connection.isOpen()) {
+                idle.add(current.connection);
+            }
         }
     }
 
