Resume accepting at the bound: XNIO's low mark must equal the high one

Checked in XNIO's server: it stops at the high mark and resumes only if the count was at the low mark or under before one closed (NioTcpServerHandle.freeConnection), so one eviction at a time left it stopped. At fault: Front.listen, low mark one under the high one. Both are now the same, a little above the bound at which the longest idle gives way.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -38,8 +38,9 @@
     private static final HttpString TENANT = new HttpString("X-Customer");
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
-    /** The share of the proxy's connections that clients may have; and an exchange's longest time, in ms. */
-    private static final double SHARE = 0.55;
+    /** The share of the proxy's connections that clients may have, and where no more are accepted. */
+    private static final double SHARE = 0.55, LAST = 0.6;
+    /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
     /** Milliseconds that a client's connection may say nothing, and those that a request's head may take. */
     private static final int IDLE = 30_000, SLOW = 10_000;
@@ -84,12 +85,15 @@
     }
 
     void listen() throws IOException {
+        // Danger: XNIO accepts again only when one closes at the low mark or under it, so with a lower low mark
+        // places that are freed one by one would never be filled.
+        int last = (int) (LAST * config.connections());
         server = worker.createStreamConnectionServer(config.listen(),
                 ChannelListeners.openListenerAdapter(this::accepted), OptionMap.builder()
                         .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.READ_TIMEOUT, IDLE).set(Options.BACKLOG, most)
-                        .set(Options.CONNECTION_HIGH_WATER, most + 1)
-                        .set(Options.CONNECTION_LOW_WATER, most).getMap());
+                        .set(Options.READ_TIMEOUT, IDLE).set(Options.BACKLOG, config.sockets())
+                        .set(Options.CONNECTION_HIGH_WATER, last)
+                        .set(Options.CONNECTION_LOW_WATER, last).getMap());
         server.resumeAccepts();
     }
 
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -205,7 +205,8 @@
 
     private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
         // One that is never answered fails its test instead of holding all of them up.
-        return http.send(request.timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString());
+        return http.send(request.timeout(Duration.ofSeconds(20)).build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     private HttpResponse<String> look() throws Exception {
