--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -85,8 +85,8 @@
     }
 
     void listen() throws IOException {
-        // Danger: XNIO accepts again only when one closes at the low mark or under it, so with a lower low mark
-        // places that are freed one by one would never be filled.
+        // Danger: XNIO accepts again only when one closes at the low mark or under it, so with a lower
+        // low mark places that are freed one by one would never be filled.
         int last = (int) (LAST * config.connections());
         server = worker.createStreamConnectionServer(config.listen(),
                 ChannelListeners.openListenerAdapter(this::accepted), OptionMap.builder()
