Follow a new configuration at SIGHUP; close clients' connections by what they say

Lines at fault: Serve (no handler), Front.accepted (closes without looking). Now: Serve takes SIGHUP, Watch leaves the old address and asks the new one for the whole list; Visitors keeps clients' connections, hears what they say below Undertow, and closes who says nothing for 2.2 s or takes 2.5 s for a request. An open exchange's id, and framing or field names that can be read in two ways, are turned away. Conclusion: not yet whole; a request may still come unread between the pass and the close.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -4,12 +4,15 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -19,8 +22,8 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import lemondrift.model.Exchange;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -41,32 +44,21 @@
     private static final double SHARE = 0.55, LAST = 0.6;
     /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
-    /** Milliseconds that a client's connection may say nothing, and those that a request's head may take. */
-    private static final int IDLE = 30_000, SLOW = 10_000;
-    /** What a connection's exchange is, for when it closes; taken out once the exchange is answered. */
-    private static final AttachmentKey<Current> CURRENT = AttachmentKey.create(Current.class);
-
-    private static final class Current {
-        private final StreamConnection connection;
-        private Exchange exchange;
-
-        private Current(StreamConnection connection) {
-            this.connection = connection;
-        }
-    }
+    /** Milliseconds for which an answer to a request that is not read to its end may be fetched. */
+    private static final int LINGER = 200;
+    private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+    /** On a connection whose end is listened for. */
+    private static final AttachmentKey<Visitors.Visitor> HEARD = AttachmentKey.create(Visitors.Visitor.class);
 
     private final Config config;
     private final Clock clock;
     private final Owner owner;
     private final XnioWorker worker;
     private final HttpOpenListener http;
-    private final int most;
-    /** Connections without an exchange, the longest idle first. */
-    private final Set<StreamConnection> idle = new LinkedHashSet<>();
+    private final Visitors visitors;
     private AcceptingChannel<StreamConnection> server;
     private long taken;
-    private volatile int open;
-    private volatile boolean draining;
+    private volatile boolean draining, busy;
     private volatile double lastArrival;
 
     Front(Config config, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner) {
@@ -74,11 +66,10 @@
         this.clock = clock;
         this.owner = owner;
         this.worker = worker;
-        most = (int) (SHARE * config.connections());
+        visitors = new Visitors(clock, worker.getIoThread(), (int) (SHARE * config.connections()));
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
-                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW).set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
     }
@@ -90,23 +81,14 @@
         server = worker.createStreamConnectionServer(config.listen(),
                 ChannelListeners.openListenerAdapter(this::accepted), OptionMap.builder()
                         .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.READ_TIMEOUT, IDLE).set(Options.BACKLOG, config.sockets())
+                        .set(Options.BACKLOG, config.sockets())
                         .set(Options.CONNECTION_HIGH_WATER, last)
                         .set(Options.CONNECTION_LOW_WATER, last).getMap());
         server.resumeAccepts();
     }
 
-    /** Danger: connections that say nothing would keep those out that bring exchanges. */
     private void accepted(StreamConnection connection) {
-        if (idle.size() + open >= most) {
-            idle.removeIf(known -> !known.isOpen());
-        }
-        if (idle.size() + open >= most && !idle.isEmpty()) {
-            StreamConnection longest = idle.iterator().next();
-            idle.remove(longest);
-            IoUtils.safeClose(longest);
-        }
-        idle.add(connection);
+        visitors.came(connection);
         http.handleEvent(connection);
     }
 
@@ -120,10 +102,11 @@
     }
 
     boolean isQuietSince(double time) {
-        return open == 0 && lastArrival <= time;
+        return !busy && lastArrival <= time;
     }
 
     void close() {
+        visitors.stop();
         IoUtils.safeClose(server);
     }
 
@@ -133,10 +116,7 @@
             return;
         }
         lastArrival = clock.now();
-        // Danger: a body in a coding that is not known has no end, and its request would wait for ever.
-        String coding = client.getRequestHeaders().getFirst(Headers.TRANSFER_ENCODING);
-        if (coding != null && !coding.equalsIgnoreCase("chunked")
-                || client.getRequestMethod().equals(Methods.CONNECT)) {
+        if (!isPlain(client)) {
             reject(client, 400);
             return;
         }
@@ -150,25 +130,70 @@
                 reject(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400));
     }
 
-    /** Danger: an answer without a body would be held back until all of the request has come. */
+    /** Danger: what Undertow reads leniently a backend may read in another way, and find a second request. */
+    private static boolean isPlain(HttpServerExchange client) {
+        HeaderMap headers = client.getRequestHeaders();
+        // Danger: a body in a coding that is not known has no end, and its request would wait for ever.
+        String coding = headers.getFirst(Headers.TRANSFER_ENCODING);
+        if (coding != null && (!coding.equalsIgnoreCase("chunked") || !client.isHttp11())
+                || headers.count(Headers.TRANSFER_ENCODING) + headers.count(Headers.CONTENT_LENGTH) > 1
+                || client.isHostIncludedInRequestURI() || client.getRequestMethod().equals(Methods.CONNECT)) {
+            return false;
+        }
+        for (HeaderValues values : headers) {
+            if (!TOKEN.matcher(values.getHeaderName().toString()).matches()
+                    || values.stream().anyMatch(value -> value.chars().anyMatch(c -> c < ' ' && c != '\t'))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Answers what is not read to its end. Danger: an answer without a body would be held back until all of
+     * the request has come, and that may be 60 MB, or have no end.
+     */
     private void reject(HttpServerExchange client, int status) {
         client.setPersistent(false);
-        answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII));
+        StreamConnection connection = channel(client);
+        answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII),
+                new IoCallback() {
+                    @Override
+                    public void onComplete(HttpServerExchange done, Sender sender) {
+                        if (done.isRequestComplete()) {
+                            done.endExchange();
+                        } else {
+                            worker.getIoThread().executeAfter(() -> IoUtils.safeClose(connection), LINGER,
+                                    TimeUnit.MILLISECONDS);
+                        }
+                    }
+
+                    @Override
+                    public void onException(HttpServerExchange failed, Sender sender, IOException e) {
+                        IoUtils.safeClose(connection);
+                    }
+                });
+    }
+
+    private static StreamConnection channel(HttpServerExchange client) {
+        return ((AbstractServerConnection) client.getConnection()).getChannel();
     }
 
     private void received(HttpServerExchange client, byte[] body) {
         client.dispatch(SameThreadExecutor.INSTANCE, () -> {
             Exchange x = exchange(client.getRequestHeaders());
-            if (x == null) {
-                end(client, 400);
+            Visitors.Visitor visitor = visitors.of(channel(client));
+            if (x == null || visitor == null || !visitor.began(only(client.getRequestHeaders(), TRACE), x)) {
+                reject(client, 400);
                 return;
             }
-            Current current = current(client);
-            current.exchange = x;
-            open++;
-            idle.remove(current.connection);
+            busy = true;
+            if (client.getConnection().getAttachment(HEARD) == null) {
+                client.getConnection().putAttachment(HEARD, visitor);
+                client.getConnection().addCloseListener(closed -> ended(visitor, true));
+            }
             client.addExchangeCompleteListener((done, next) -> {
-                ended(current);
+                ended(visitor, false);
                 next.proceed();
             });
             watchForClose((AbstractServerConnection) client.getConnection());
@@ -193,30 +218,14 @@
         return headers.count(field) == 1 ? headers.getFirst(field) : "";
     }
 
-    private Current current(HttpServerExchange client) {
-        Current known = client.getConnection().getAttachment(CURRENT);
-        if (known != null) {
-            return known;
-        }
-        Current current = new Current(((AbstractServerConnection) client.getConnection()).getChannel());
-        client.getConnection().putAttachment(CURRENT, current);
-        client.getConnection().addCloseListener(closed -> {
-            Exchange x = current.exchange;
-            if (x != null) {
-                ended(current);
-                owner.left(x);
-            }
-        });
-        return current;
-    }
-
     /** Answered, or the client has gone; whichever comes first. */
-    private void ended(Current current) {
-        if (current.exchange != null) {
-            open--;
-            current.exchange = null;
-            if (current.connection.isOpen()) {
-                idle.add(current.connection);
+    private void ended(Visitors.Visitor visitor, boolean gone) {
+        Exchange x = visitor.exchange;
+        if (x != null) {
+            visitor.answered();
+            busy = visitors.open() > 0;
+            if (gone) {
+                owner.left(x);
             }
         }
     }
@@ -253,7 +262,7 @@
     /** Passes a backend's answer on. */
     void deliver(HttpServerExchange client, Answer answer) {
         Backends.copy(answer.headers(), client.getResponseHeaders());
-        answer(client, Answer.OK, answer.body());
+        answer(client, Answer.OK, answer.body(), IoCallback.END_EXCHANGE);
     }
 
     /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
@@ -262,14 +271,14 @@
             client.getResponseHeaders().put(Headers.RETRY_AFTER,
                     String.format(java.util.Locale.ROOT, "%.3f", retryAfter));
         }
-        answer(client, shed ? 503 : 502, new byte[0]);
+        end(client, shed ? 503 : 502);
     }
 
     private void end(HttpServerExchange client, int status) {
-        answer(client, status, new byte[0]);
+        answer(client, status, new byte[0], IoCallback.END_EXCHANGE);
     }
 
-    private void answer(HttpServerExchange client, int status, byte[] body) {
+    private void answer(HttpServerExchange client, int status, byte[] body, IoCallback then) {
         if (client.isResponseStarted() || client.isComplete()) {
             return;
         }
@@ -281,7 +290,7 @@
         if (body.length == 0) {
             client.endExchange();
         } else {
-            client.getResponseSender().send(ByteBuffer.wrap(body));
+            client.getResponseSender().send(ByteBuffer.wrap(body), then);
         }
     }
 }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -60,6 +60,12 @@
         LOG.info("serving");
     }
 
+    /** Follows a new configuration; only discovery's address changes while clients are served. */
+    void reload(Config config) {
+        LOG.info("configuration read again, discovery at {}", config.discovery());
+        worker.getIoThread().execute(() -> watch.move(config.discovery()));
+    }
+
     /** Takes clients as long as they come, answers all that was taken, and returns. */
     void drain() throws InterruptedException {
         phase = Phase.DRAINING;
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -6,9 +6,13 @@
 import java.nio.file.Path;
 import java.util.Map;
 import lemondrift.settings.BadInput;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Starts the real proxy from its environment and ends it on SIGTERM. */
 public final class Serve {
+    private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+
     private Serve() {}
 
     /** Returns an exit code where the proxy can't start, else 0, and the proxy runs on. */
@@ -31,6 +35,7 @@
             Proxy proxy = new Proxy(Config.read(Files.readString(Path.of(file))));
             if (serving) {
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "drain"));
+                onHangUp(() -> reload(proxy, file));
                 proxy.serve();
             }
             return 0;
@@ -40,6 +45,32 @@
         }
     }
 
+    /** Danger: two hang-ups in a row have a thread each, and the older file must not be followed last. */
+    private static synchronized void reload(Proxy proxy, String file) {
+        try {
+            proxy.reload(Config.read(Files.readString(Path.of(file))));
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("new configuration not used, the old one stays: {}", e.toString().replace('\n', ' '));
+        }
+    }
+
+    /** Danger: a JVM ends on a hang-up that nobody takes. The compiler bars sun.misc by name. */
+    private static void onHangUp(Runnable then) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object take = java.lang.reflect.Proxy.newProxyInstance(Serve.class.getClassLoader(),
+                    new Class<?>[] {handler}, (self, method, arguments) -> {
+                        then.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), take);
+        } catch (ReflectiveOperationException | RuntimeException e) {
+            LOG.warn("a hang-up will end this program: {}", e.toString());
+        }
+    }
+
     private static void end(Proxy proxy) {
         try {
             proxy.drain();
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -0,0 +1,159 @@
+package lemondrift.serve;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import lemondrift.model.Exchange;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** Clients' connections: how many there may be, and how long one may stay that has no exchange open. */
+final class Visitors {
+    /** Seconds that one may say nothing, take for a request, and take for its first one since it came. */
+    private static final double SILENT = 2.2, SPEAKING = 2.5, FIRST = 2.6;
+    private static final double SWEEP = 0.2;
+
+    /** One connection. What it says is heard below Undertow, which tells of whole requests only. */
+    final class Visitor {
+        /** What is open on it, if anything, and under which id. */
+        Exchange exchange;
+        String trace;
+        private final StreamConnection connection;
+        private final double came = clock.now();
+        private double quietSince = came, spokeAt;
+        private boolean speaking, fresh = true, due;
+
+        private Visitor(StreamConnection connection) {
+            this.connection = connection;
+            var source = connection.getSourceChannel();
+            source.setConduit(new AbstractStreamSourceConduit<StreamSourceConduit>(source.getConduit()) {
+                @Override
+                public int read(ByteBuffer to) throws IOException {
+                    int got = next.read(to);
+                    if (got > 0 && !speaking) {
+                        speaking = true;
+                        spokeAt = clock.now();
+                    }
+                    return got;
+                }
+            });
+        }
+
+        /** False where another exchange of this id is open. */
+        boolean began(String id, Exchange x) {
+            // Danger: two under one id could not be told apart by the backends.
+            if (!traces.add(id)) {
+                return false;
+            }
+            trace = id;
+            exchange = x;
+            quiet.remove(this);
+            return true;
+        }
+
+        /** It has no exchange open from now on. */
+        void answered() {
+            traces.remove(trace);
+            exchange = null;
+            fresh = false;
+            speaking = false;
+            due = false;
+            quietSince = clock.now();
+            if (connection.isOpen()) {
+                quiet.add(this);
+            }
+        }
+
+        private boolean isOverdue(double now) {
+            return now > (!speaking ? quietSince + SILENT : fresh ? came + FIRST : spokeAt + SPEAKING);
+        }
+    }
+
+    private final Clock clock;
+    private final XnioIoThread io;
+    private final int most;
+    private final XnioExecutor.Key sweep;
+    private final Map<StreamConnection, Visitor> all = new HashMap<>();
+    private final Set<String> traces = new HashSet<>();
+    /** Those without an exchange, the longest quiet first. */
+    private final Set<Visitor> quiet = new LinkedHashSet<>();
+
+    Visitors(Clock clock, XnioIoThread io, int most) {
+        this.clock = clock;
+        this.io = io;
+        this.most = most;
+        sweep = io.executeAtInterval(this::sweep, (long) (SWEEP * 1e9), TimeUnit.NANOSECONDS);
+    }
+
+    /** How many have an exchange open. */
+    int open() {
+        return traces.size();
+    }
+
+    Visitor of(StreamConnection connection) {
+        return all.get(connection);
+    }
+
+    void came(StreamConnection connection) {
+        Visitor visitor = new Visitor(connection);
+        all.put(connection, visitor);
+        quiet.add(visitor);
+        if (all.size() > most) {
+            // Danger: the requests of connections that were accepted together have not been read yet, and
+            // to close one then would lose its request. After this pass over the sockets they have.
+            io.execute(this::makeRoom);
+        }
+    }
+
+    private void forgetClosed() {
+        quiet.removeIf(visitor -> !visitor.connection.isOpen());
+        all.values().removeIf(visitor -> !visitor.connection.isOpen());
+    }
+
+    /** Danger: connections that say nothing would keep those out that bring exchanges. */
+    private void makeRoom() {
+        forgetClosed();
+        List<Visitor> silent = new ArrayList<>();
+        int over = all.size() - most;
+        for (Visitor each : quiet) {
+            if (silent.size() < over && !each.speaking) {
+                silent.add(each);
+            }
+        }
+        silent.forEach(this::close);
+    }
+
+    /** Danger: a head or body without end would hold its connection and its buffers for good. */
+    private void sweep() {
+        forgetClosed();
+        double now = clock.now();
+        for (Visitor each : List.copyOf(quiet)) {
+            // Danger: after a pause of the process a request may be waiting unread; the next pass reads it.
+            if (each.due && each.isOverdue(now)) {
+                close(each);
+            }
+            each.due = each.isOverdue(now);
+        }
+    }
+
+    private void close(Visitor visitor) {
+        quiet.remove(visitor);
+        all.remove(visitor.connection);
+        IoUtils.safeClose(visitor.connection);
+    }
+
+    void stop() {
+        sweep.remove();
+    }
+}
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -6,6 +6,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import lemondrift.model.Turn;
@@ -20,21 +21,27 @@
     /** How long discovery may hold a watch, how much later silence is no answer, the pause then. */
     private static final double HOLD = 4, SLACK = 1, PAUSE = 0.1;
 
-    private final Links links;
-    private final Config config;
+    private final Clock clock;
     private final XnioIoThread io;
+    private final ByteBufferPool buffers;
     private final Owner owner;
     private final boolean onRequest;
     private long revision = -1;
     private boolean stopped, failing;
+    private Links links;
     private Call call;
 
     Watch(Config config, Clock clock, XnioIoThread io, ByteBufferPool buffers, Owner owner) {
-        this.config = config;
+        this.clock = clock;
         this.io = io;
+        this.buffers = buffers;
         this.owner = owner;
         onRequest = config.settings().listOnRequest();
-        links = new Links(config.discovery(), new Dialler(io), buffers, clock, new Links.Budget(4), 4);
+        links = links(config.discovery());
+    }
+
+    private Links links(InetSocketAddress discovery) {
+        return new Links(discovery, new Dialler(io), buffers, clock, new Links.Budget(4), 4);
     }
 
     /** Where lists are told unasked the watch runs from the start; elsewhere the decisions begin it. */
@@ -44,6 +51,22 @@
         }
     }
 
+    /** Leaves discovery for another address. Danger: the old one's late answer would undo the new one's. */
+    void move(InetSocketAddress discovery) {
+        if (stopped) {
+            return;
+        }
+        if (call != null) {
+            call.abandon();
+            call = null;
+        }
+        links.retire();
+        links = links(discovery);
+        // Danger: the new one may count its revisions otherwise and never tell what the old one had not.
+        revision = -1;
+        call();
+    }
+
     void asked(Turn.ListCall call) {
         if (call == Turn.ListCall.WHOLE) {
             revision = -1;
@@ -58,7 +81,7 @@
         String path = "/v1/servers" + (revision < 0 ? "" : "?from=" + revision + "&hold_ms="
                 + Math.round(HOLD * 1000));
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
-        request.getRequestHeaders().put(Headers.HOST, config.discovery().getHostString());
+        request.getRequestHeaders().put(Headers.HOST, links.address.getHostString());
         call = Call.begin(links, request, new byte[0], MOST_LIST, SLACK, revision < 0 ? SLACK : HOLD + SLACK,
                 this::answered);
         if (call == null) {
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -336,6 +337,83 @@
         }
     }
 
+    @Test
+    void aRequestThatComesInPiecesKeepsItsPlace() throws Exception {
+        start(backend(OK));
+        String one = "GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: look\r\n";
+        try (Socket client = new Socket("127.0.0.1", proxy.address().getPort())) {
+            client.getOutputStream().write(one.getBytes(StandardCharsets.US_ASCII));
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                silent.add(new Socket("127.0.0.1", proxy.address().getPort()));
+            }
+            assertEquals(-1, silent.get(0).getInputStream().read(), "one that says nothing makes room");
+            client.getOutputStream().write("X-Expires-In-Ms: 900\r\n\r\n".getBytes());
+            assertTrue(read(client).startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @Test
+    void whatNeverBecomesARequestIsClosed() throws Exception {
+        start(backend(OK));
+        for (String raw : List.of("", "POST / HTTP/1.1\r\nHost: a\r\nX-", "POST / HTTP/1.1\r\nHost: a\r\n"
+                + "X-Trace-Id: a\r\nX-Qos: order\r\nX-Expires-In-Ms: 900\r\nContent-Length: 9\r\n\r\nx")) {
+            try (Socket client = new Socket("127.0.0.1", proxy.address().getPort())) {
+                client.setSoTimeout(20_000);
+                client.getOutputStream().write(raw.getBytes(StandardCharsets.US_ASCII));
+                assertEquals(-1, client.getInputStream().read(), raw);
+            }
+        }
+    }
+
+    @Test
+    void anOpenExchangesIdIsTurnedAway() throws Exception {
+        StandIn silent = backend(SILENCE);
+        start(silent);
+        var first = http.sendAsync(request("look").build(), HttpResponse.BodyHandlers.ofString());
+        assertNotNull(silent.requests.poll(5, TimeUnit.SECONDS));
+        assertEquals(400, look().statusCode());
+        assertEquals(503, first.get().statusCode());
+        assertEquals(503, look().statusCode(), "the id is free again");
+    }
+
+    @Test
+    void aHangUpMovesTheWatchAndABadFileDoesNot(@TempDir Path folder) throws Exception {
+        StandIn old = new StandIn(request -> request.contains("?") ? SILENCE : http(list(7, true)));
+        StandIn next = new StandIn(request -> request.contains("?") ? SILENCE : http(list(3, true)));
+        Path file = Files.writeString(folder.resolve("config.json"), config(old.port(), false));
+        ProcessBuilder command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
+                .toString(), "-cp", System.getProperty("java.class.path"), "lemondrift.Main", "serve");
+        command.environment().put("PROXY_CONFIG", file.toString());
+        Process child = command.redirectErrorStream(true).start();
+        try {
+            BufferedReader log = child.inputReader();
+            discovery = old;
+            awaitWatch("from=7");
+            Files.writeString(file, "nonsense");
+            hangUp(child);
+            for (String line = ""; !line.contains("new configuration not used"); line = log.readLine()) {
+                assertNotNull(line);
+            }
+            for (StandIn each : List.of(next, old)) {
+                Files.writeString(file, config(each.port(), false));
+                hangUp(child);
+                discovery = each;
+                each.requests.clear();
+                awaitWatch("from=");
+            }
+            assertTrue(old.left.await(5, TimeUnit.SECONDS), "the old watch is left");
+            child.destroy();
+            assertEquals(0, child.waitFor());
+        } finally {
+            child.destroyForcibly();
+        }
+    }
+
+    private static void hangUp(Process child) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(child.pid())).start().waitFor());
+    }
+
     @Test
     void requestsSentAheadAreAnsweredInTurn() throws Exception {
         start(backend(OK));
@@ -361,8 +439,11 @@
         }
         assertEquals(400, send(request("look").header("X-Qos", "order")).statusCode(), "twice");
         assertEquals(400, send(request("look").setHeader("X-Trace-Id", "")).statusCode());
-        for (String raw : List.of("GARBAGE\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\n"
-                + "X-Qos: order\r\nX-Expires-In-Ms: 900\r\nTransfer-Encoding: gzip\r\n\r\n")) {
+        String head = "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+                + "X-Expires-In-Ms: 900\r\n";
+        for (String raw : List.of("GARBAGE\r\n\r\n", head + "Transfer-Encoding: gzip\r\n\r\n",
+                head + "Content-Length : 1\r\nContent-Length: 1\r\n\r\nx",
+                head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
             try (Socket client = new Socket("127.0.0.1", proxy.address().getPort())) {
                 client.getOutputStream().write(raw.getBytes(StandardCharsets.US_ASCII));
                 assertTrue(read(client).startsWith("HTTP/1.1 400"), raw);
