Read backends' answers strictly; reuse indexes; close no client with a request unread

Checked in the sources: UndertowClient takes 1xx but 100 for the answer, the first of two lengths, and pushes bytes beyond an answer back, to be read as the next one's; Links handed out idle connections without a look at them; Front's bound closed silent connections whose request had come since the last pass over the sockets. Directory never gave an index back, and a whole list let nothing go. Lines at fault: Call.read, Links.idle, Front.accepted, Directory.listed. Ruled out: backends.

--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -23,7 +23,7 @@
     /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
     private double answerTime;
 
-    private double[] score = {}, startSeen = {};
+    private double[] score = {};
     /** 0 is not suspended; when all sent to a cold one has drained as it may. */
     private double[] suspendedUntil = {}, drainedAt = {};
 
@@ -37,20 +37,18 @@
     }
 
     void listed(double now) {
-        int known = score.length;
         score = Arrays.copyOf(score, fleet.size);
         suspendedUntil = Arrays.copyOf(suspendedUntil, fleet.size);
-        startSeen = Arrays.copyOf(startSeen, fleet.size);
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
-            if (i >= known || fleet.started[i] > startSeen[i]) {
+            if (fleet.started[i] >= fleet.startSeen[i]) {
                 startAfresh(i, now);
             }
         }
     }
 
     private void startAfresh(int i, double now) {
-        startSeen[i] = fleet.started[i];
+        fleet.startSeen[i] = Math.nextUp(fleet.started[i]);
         // Danger: one exchange from each of hundreds of proxies at once spends a start's budget many times.
         drainedAt[i] = now + chance.next() * Math.max(0, drain(i, 1, now) - fallWindow);
         score[i] = 0;
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -139,7 +139,7 @@
     }
 
     void forget(int i) {
-        reportedAt[i] = 0;
+        reportedAt[i] = rated[i] = 0;
         sends[i] = 0;
     }
 }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -12,8 +12,8 @@
     int size;
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
-    /** When it last started, as told; 0 is long ago. */
-    double[] started = {};
+    /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
+    double[] started = {}, startSeen = {};
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
 
@@ -36,7 +36,8 @@
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
-            started[i] = Math.max(started[i], line.started());
+            started[i] = Math.max(line.fresh() ? 0 : started[i], line.started());
+            startSeen[i] = line.fresh() ? 0 : startSeen[i];
         }
         int kept = (int) Arrays.stream(order).filter(i -> ready[i]).count();
         order = IntStream.concat(Arrays.stream(order), IntStream.range(0, size)).filter(i -> ready[i])
@@ -57,6 +58,7 @@
         location = Arrays.copyOf(location, wanted);
         cell = Arrays.copyOf(cell, wanted);
         started = Arrays.copyOf(started, wanted);
+        startSeen = Arrays.copyOf(startSeen, wanted);
         out = Arrays.copyOf(out, wanted);
         size = wanted;
     }
--- a/src/main/java/lemondrift/drill/Instance.java
+++ b/src/main/java/lemondrift/drill/Instance.java
@@ -42,7 +42,9 @@
     List<Listed> listed(List<Line> lines) {
         List<Listed> result = new ArrayList<>(lines.size());
         for (Line line : lines) {
-            result.add(new Listed(index(line.address), line.location, line.cell, line.state, line.started));
+            boolean fresh = !indexes.containsKey(line.address);
+            result.add(new Listed(index(line.address), fresh, line.location, line.cell, line.state,
+                    line.started));
         }
         return result;
     }
--- a/src/main/java/lemondrift/model/Listed.java
+++ b/src/main/java/lemondrift/model/Listed.java
@@ -1,6 +1,9 @@
 package lemondrift.model;
 
-/** One backend of a list; started is 0 where it started long ago or is not told. */
-public record Listed(int backend, int location, int cell, State state, double started) {
+/**
+ * One backend of a list; started is 0 where it started long ago or is not told. It is fresh where the index
+ * has not stood for it so far, and nothing known of the index holds.
+ */
+public record Listed(int backend, boolean fresh, int location, int cell, State state, double started) {
     public enum State { READY, DRAINING, GONE }
 }
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -1,6 +1,5 @@
 package lemondrift.serve;
 
-import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -10,6 +9,7 @@
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -36,10 +36,12 @@
     private static final double SHARE = 0.4, MOST_OF_THEM = 0.25;
     /** Idle connections are closed at this share of the time after which a backend does so. */
     private static final double IDLE_SHARE = 0.5;
+    /** No figure of a load report can be as high. */
+    private static final double UNHEARD_OF = 1e9;
 
     private final Config config;
     private final Clock clock;
-    private final Dialler dialler;
+    private final XnioIoThread io;
     private final ByteBufferPool buffers;
     private final Owner owner;
     private final Links.Budget budget;
@@ -50,7 +52,7 @@
     Backends(Config config, Clock clock, XnioIoThread io, ByteBufferPool buffers, Owner owner) {
         this.config = config;
         this.clock = clock;
-        this.dialler = new Dialler(io);
+        this.io = io;
         this.buffers = buffers;
         this.owner = owner;
         budget = new Links.Budget((int) (SHARE * config.connections()));
@@ -70,30 +72,43 @@
     }
 
     private void begin(Forward f, Taken taken, InetSocketAddress to) {
-        HttpServerExchange client = taken.client();
-        String query = client.getQueryString();
-        ClientRequest request = new ClientRequest().setMethod(client.getRequestMethod())
-                .setPath(client.getRequestURI() + (query.isEmpty() ? "" : "?" + query));
-        copy(client.getRequestHeaders(), request.getRequestHeaders());
-        request.getRequestHeaders().put(EXPIRES, Math.round(f.timeOut * 1000));
-        if (taken.body().length > 0 || !request.getMethod().equals(Methods.GET)) {
-            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, taken.body().length);
-        }
         // The time that passed in the queues is the exchange's own.
         double within = f.sent + f.timeOut - clock.now();
-        Call call = Call.begin(links(f.backend, to), request, taken.body(), MOST_BODY,
+        Call call = Call.make(links(f.backend, to), request(taken, Math.round(f.timeOut * 1000)), MOST_BODY,
                 config.connectTimeout(), within, answer -> {
                     calls.remove(f);
-                    owner.ended(f, outcome(answer), clock.now() - f.sent,
-                            report(answer.headers().getFirst(LOAD)), answer);
+                    owner.ended(f, outcome(answer), clock.now() - f.sent, report(answer), answer);
                 });
         if (call == null) {
             owner.ended(f, Outcome.MOOT, 0, null, null);
         } else {
             calls.put(f, call);
+            call.start();
         }
     }
 
+    /** The request as it came, but for what belongs to one connection and the time there is for it. */
+    private static byte[] request(Taken taken, long milliseconds) {
+        HttpServerExchange client = taken.client();
+        String query = client.getQueryString();
+        StringBuilder head = new StringBuilder(256).append(client.getRequestMethod()).append(' ')
+                .append(client.getRequestURI()).append(query.isEmpty() ? "" : "?").append(query)
+                .append(" HTTP/1.1\r\n");
+        for (HeaderValues values : client.getRequestHeaders()) {
+            for (int i = 0; i < values.size() && !OWN.contains(values.getHeaderName()); i++) {
+                head.append(values.getHeaderName()).append(": ").append(values.get(i)).append("\r\n");
+            }
+        }
+        head.append(EXPIRES).append(": ").append(milliseconds).append("\r\n");
+        if (taken.body().length > 0 || !client.getRequestMethod().equals(Methods.GET)) {
+            head.append("Content-Length: ").append(taken.body().length).append("\r\n");
+        }
+        byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] whole = Arrays.copyOf(bytes, bytes.length + taken.body().length);
+        System.arraycopy(taken.body(), 0, whole, bytes.length, taken.body().length);
+        return whole;
+    }
+
     void cancel(Forward f) {
         Call call = calls.remove(f);
         if (call != null) {
@@ -105,13 +120,13 @@
     /** A probe waits as long as a connect may. */
     void probe(int backend, InetSocketAddress to) {
         String path = config.reportNames().isEmpty() ? "/healthz" : "/load";
-        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
-        request.getRequestHeaders().put(Headers.HOST, "backend");
-        Call call = Call.begin(links(backend, to), request, new byte[0], MOST_BODY, config.connectTimeout(),
-                config.connectTimeout(), answer -> owner.probed(backend, outcome(answer),
-                        report(new String(answer.body(), StandardCharsets.ISO_8859_1))));
+        Call call = Call.make(links(backend, to), Call.get(path, "backend"), MOST_BODY,
+                config.connectTimeout(), config.connectTimeout(), answer -> owner.probed(backend,
+                        outcome(answer), report(new String(answer.body(), StandardCharsets.ISO_8859_1))));
         if (call == null) {
             owner.probed(backend, Outcome.MOOT, null);
+        } else {
+            call.start();
         }
     }
 
@@ -131,7 +146,7 @@
         if (known == null || !known.address.equals(to)) {
             letGo(backend);
             int most = (int) (MOST_OF_THEM * SHARE * config.connections());
-            known = new Links(to, dialler, buffers, clock, budget, most);
+            known = new Links(to, io, buffers, clock, budget, most);
             links.put(backend, known);
         }
         return known;
@@ -157,18 +172,24 @@
         };
     }
 
+    /** Danger: of two reports it is not known which is meant. */
+    private double[] report(Answer answer) {
+        return answer.headers().count(LOAD) == 1 ? report(answer.headers().getFirst(LOAD)) : null;
+    }
+
     /** Reads TEXT name=value, name=value into the figures that the settings name; null if one lacks. */
     private double[] report(String text) {
-        if (text == null) {
-            return null;
-        }
         Map<String, String> pairs = new HashMap<>();
-        for (String pair : text.strip().replaceFirst("^TEXT\\s+", "").split(",")) {
+        String list = text.strip();
+        for (String pair : list.substring(list.startsWith("TEXT ") ? 5 : 0).split(",")) {
             int equals = pair.indexOf('=');
             pairs.put(pair.substring(0, Math.max(0, equals)).strip(), pair.substring(equals + 1).strip());
         }
         try {
-            return config.reportNames().stream().mapToDouble(n -> Double.parseDouble(pairs.get(n))).toArray();
+            double[] figures = config.reportNames().stream()
+                    .mapToDouble(name -> Double.parseDouble(pairs.get(name))).toArray();
+            // Danger: a figure that is none or negative would make its backend the least utilised for good.
+            return Arrays.stream(figures).allMatch(each -> each >= 0 && each < UNHEARD_OF) ? figures : null;
         } catch (NumberFormatException | NullPointerException e) {
             return null;
         }
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -5,8 +5,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lemondrift.model.Listed;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,53 +17,112 @@
 final class Directory {
     private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
+    /** What one index stands for. */
+    private static final class Entry {
+        private final int index;
+        private final String id;
+        private InetSocketAddress address;
+        private boolean gone;
+        private int held, location, cell;
+
+        private Entry(int index, String id) {
+            this.index = index;
+            this.id = id;
+        }
+    }
+
     private final List<String> locations;
-    private final Map<String, Integer> indexes = new HashMap<>();
-    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final Map<String, Entry> byId = new HashMap<>();
+    private final List<Entry> entries = new ArrayList<>();
 
     Directory(List<String> locations) {
         this.locations = locations;
     }
 
     InetSocketAddress address(int backend) {
-        return addresses.get(backend);
+        return entries.get(backend).address;
+    }
+
+    /** Something speaks of the backend by its index, which stands for it until it is let go. */
+    void hold(int backend) {
+        entries.get(backend).held++;
+    }
+
+    void letGo(int backend) {
+        entries.get(backend).held--;
     }
 
-    /** The lines of a list in discovery's form. Danger: one that can't be read must not cost the others. */
-    List<Listed> listed(JsonObject list) {
+    /**
+     * The lines of a list in discovery's form, and one more for each backend that has gone without a word.
+     * Danger: a line that can't be read must not cost the others.
+     */
+    List<Listed> listed(JsonObject list, boolean whole) {
         List<Listed> lines = new ArrayList<>();
+        Set<Entry> named = new HashSet<>();
         for (JsonElement member : list.getAsJsonArray("members")) {
             try {
-                lines.add(line(member.getAsJsonObject()));
+                named.add(line(member.getAsJsonObject(), lines));
             } catch (RuntimeException e) {
                 LOG.warn("a line of the list is passed over: {}: {}", member, e.toString());
             }
         }
+        if (whole) {
+            entries.stream().filter(e -> !e.gone && !named.contains(e)).forEach(e -> lines.add(gone(e)));
+        }
         return lines;
     }
 
-    private Listed line(JsonObject member) {
+    private Entry line(JsonObject member, List<Listed> lines) {
         String id = member.get("id").getAsString();
         Listed.State state = switch (member.get("phase").getAsString()) {
             case "active" -> Listed.State.READY;
             case "leaving" -> Listed.State.DRAINING;
             default -> Listed.State.GONE;
         };
-        Integer known = indexes.get(id);
-        int index = known == null ? addresses.size() : known;
         // A backend that has left needs no address.
         InetSocketAddress address = state == Listed.State.GONE && !member.has("host_port") ? null
                 : Config.address("host_port", member.get("host_port").getAsString());
-        if (known == null) {
-            LOG.info("backend {} is {} at {}", index, id, address);
-            indexes.put(id, index);
-            addresses.add(address);
-        } else if (address != null) {
-            addresses.set(index, address);
+        double started = number(member, "up_since_ms").doubleValue() / 1000;
+        Entry entry = byId.get(id);
+        boolean fresh = entry == null;
+        if (fresh) {
+            if (state == Listed.State.READY) {
+                // Danger: what is sent to one that was here before would reach this one under its name.
+                entries.stream().filter(e -> !e.gone && address.equals(e.address))
+                        .forEach(e -> lines.add(gone(e)));
+            }
+            entry = entry(id);
+            LOG.info("backend {} is {} at {}", entry.index, id, address);
+        }
+        entry.gone = state == Listed.State.GONE;
+        entry.address = address != null ? address : entry.address;
+        entry.location = !member.has("locality") ? entry.location
+                : Math.max(0, locations.indexOf(member.get("locality").getAsString()));
+        entry.cell = member.has("cell") ? number(member, "cell").intValue() : entry.cell;
+        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started));
+        return entry;
+    }
+
+    private static Listed gone(Entry entry) {
+        entry.gone = true;
+        return new Listed(entry.index, false, entry.location, entry.cell, Listed.State.GONE, 0);
+    }
+
+    /**
+     * A new backend's entry, in the place of one that has gone and that nothing speaks of any more. Danger:
+     * where backends are replaced all day, the figures of all that ever were would fill the memory.
+     */
+    private Entry entry(String id) {
+        Entry old = entries.stream().filter(e -> e.gone && e.held == 0).findFirst().orElse(null);
+        Entry entry = new Entry(old == null ? entries.size() : old.index, id);
+        if (old == null) {
+            entries.add(entry);
+        } else {
+            byId.remove(old.id);
+            entries.set(old.index, entry);
         }
-        int location = member.has("locality") ? locations.indexOf(member.get("locality").getAsString()) : 0;
-        return new Listed(index, Math.max(0, location), number(member, "cell").intValue(), state,
-                number(member, "up_since_ms").doubleValue() / 1000);
+        byId.put(id, entry);
+        return entry;
     }
 
     private static Number number(JsonObject member, String key) {
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -1,44 +1,63 @@
 package lemondrift.serve;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 
 /** A bounded pool of connections to one address; one request at a time on each. I/O thread only. */
 final class Links {
-    /** One connection with its socket. */
+    /** One connection. */
     static final class Link {
-        final ClientConnection connection;
-        private final StreamConnection socket;
+        final StreamConnection connection;
         private double idleSince;
 
-        private Link(ClientConnection connection, StreamConnection socket) {
+        private Link(StreamConnection connection) {
             this.connection = connection;
-            this.socket = socket;
         }
 
-        /** Danger: a polite close waits for a peer that may never say anything again. */
         void close() {
-            IoUtils.safeClose(socket);
+            IoUtils.safeClose(connection);
+        }
+
+        /** Danger: its end, or bytes that nobody asked for, may have come and not been noticed yet. */
+        private boolean isClean() {
+            try {
+                return connection.isOpen() && connection.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
+            } catch (IOException e) {
+                return false;
+            }
         }
     }
 
-    /** How many connections may be open over all pools that share it. */
+    /** How many connections may be open over all pools that share it, and the idle ones, oldest first. */
     static final class Budget {
         private final int most;
+        private final Set<Link> idle = new LinkedHashSet<>();
         private int open;
 
         Budget(int most) {
             this.most = most;
         }
+
+        /** Danger: pools that stand idle would keep an exchange from the backend that was picked for it. */
+        private boolean hasRoom() {
+            if (open >= most && !idle.isEmpty()) {
+                idle.iterator().next().close();
+            }
+            return open < most;
+        }
     }
 
     final InetSocketAddress address;
-    final Dialler dialler;
+    final XnioIoThread io;
     final ByteBufferPool buffers;
     private final Clock clock;
     private final Budget budget;
@@ -47,10 +66,10 @@
     private int open;
     private boolean retired;
 
-    Links(InetSocketAddress address, Dialler dialler, ByteBufferPool buffers, Clock clock, Budget budget,
+    Links(InetSocketAddress address, XnioIoThread io, ByteBufferPool buffers, Clock clock, Budget budget,
             int most) {
         this.address = address;
-        this.dialler = dialler;
+        this.io = io;
         this.buffers = buffers;
         this.clock = clock;
         this.budget = budget;
@@ -60,7 +79,8 @@
     /** The idle connection used last, so that the others grow old; null if there is none. */
     Link idle() {
         for (Link link = idle.pollFirst(); link != null; link = idle.pollFirst()) {
-            if (link.connection.isOpen()) {
+            budget.idle.remove(link);
+            if (link.isClean()) {
                 return link;
             }
             link.close();
@@ -70,7 +90,7 @@
 
     /** Whether another connection may be opened; it counts from now on. */
     boolean reserve() {
-        if (open >= most || budget.open >= budget.most) {
+        if (open >= most || !budget.hasRoom()) {
             return false;
         }
         open++;
@@ -84,22 +104,27 @@
         budget.open--;
     }
 
-    Link opened(ClientConnection connection, StreamConnection socket) {
-        Link link = new Link(connection, socket);
-        connection.addCloseListener(closed -> {
+    Link opened(StreamConnection connection) {
+        Link link = new Link(connection);
+        connection.setCloseListener(closed -> {
             released();
             idle.remove(link);
+            budget.idle.remove(link);
         });
         return link;
     }
 
     void back(Link link) {
-        if (retired) {
+        if (retired || !link.connection.isOpen()) {
             link.close();
-        } else if (link.connection.isOpen()) {
-            link.idleSince = clock.now();
-            idle.addFirst(link);
+            return;
         }
+        link.idleSince = clock.now();
+        idle.addFirst(link);
+        budget.idle.add(link);
+        // Whatever comes now, its end or more bytes, makes it useless.
+        link.connection.getSourceChannel().setReadListener(source -> link.close());
+        link.connection.getSourceChannel().resumeReads();
     }
 
     /** No more is sent here: idle connections are closed now, busy ones when their request has ended. */
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -71,7 +71,10 @@
     }
 
     void probed(int backend, Outcome outcome, double[] report) {
-        put(null, () -> balancer.probeEnded(clock.now(), backend, outcome, report));
+        put(null, () -> {
+            directory.letGo(backend);
+            return balancer.probeEnded(clock.now(), backend, outcome, report);
+        });
     }
 
     void left(Exchange x) {
@@ -80,8 +83,8 @@
 
     void listed(JsonObject list, boolean stale) {
         put(null, () -> {
-            List<Listed> lines = directory.listed(list);
             boolean whole = list.get("complete").getAsBoolean();
+            List<Listed> lines = directory.listed(list, whole);
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
@@ -143,6 +146,7 @@
     private void carryOut(Turn turn) {
         turn.cancels.forEach(hands::cancel);
         for (Forward f : turn.sends) {
+            directory.hold(f.backend);
             hands.send(f, open.get(f.exchange), directory.address(f.backend));
         }
         for (Turn.Answer a : turn.answers) {
@@ -150,6 +154,7 @@
             release(a.exchange());
         }
         for (int backend : turn.probes) {
+            directory.hold(backend);
             hands.probe(backend, directory.address(backend));
         }
         turn.listCalls.forEach(hands::list);
@@ -166,8 +171,11 @@
 
     /** Lets go of an exchange that is over and has nothing out. */
     private void release(Exchange x) {
-        if (x.over && x.out == 0) {
-            open.remove(x);
+        if (x.over && x.out == 0 && open.remove(x) != null) {
+            // Danger: whether a forward may be repeated goes by where the earlier ones went.
+            for (Forward f = x.latest; f != null; f = f.earlier) {
+                directory.letGo(f.backend);
+            }
         }
     }
 }
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -30,26 +30,54 @@
         Exchange exchange;
         String trace;
         private final StreamConnection connection;
+        private final StreamSourceConduit below;
+        /** What was read to see whether there is anything, until it is read in earnest. */
+        private final ByteBuffer ahead = ByteBuffer.allocate(1);
         private final double came = clock.now();
         private double quietSince = came, spokeAt;
-        private boolean speaking, fresh = true, due;
+        private boolean speaking, fresh = true;
 
         private Visitor(StreamConnection connection) {
             this.connection = connection;
             var source = connection.getSourceChannel();
-            source.setConduit(new AbstractStreamSourceConduit<StreamSourceConduit>(source.getConduit()) {
+            below = source.getConduit();
+            source.setConduit(new AbstractStreamSourceConduit<StreamSourceConduit>(below) {
                 @Override
                 public int read(ByteBuffer to) throws IOException {
-                    int got = next.read(to);
-                    if (got > 0 && !speaking) {
-                        speaking = true;
-                        spokeAt = clock.now();
+                    int had = ahead.flip().remaining();
+                    if (to.hasRemaining()) {
+                        to.put(ahead);
                     }
-                    return got;
+                    ahead.compact();
+                    int got = below.read(to);
+                    spoke(got);
+                    return had > 0 ? had + Math.max(0, got) : got;
                 }
             });
         }
 
+        private void spoke(int got) {
+            if (got > 0 && !speaking) {
+                speaking = true;
+                spokeAt = clock.now();
+            }
+        }
+
+        /** Danger: a request that has come and waits unread, after a pause of the process, would be lost. */
+        private boolean isSilent() {
+            try {
+                if (!speaking && ahead.hasRemaining()) {
+                    spoke(below.read(ahead));
+                    if (speaking) {
+                        connection.getSourceChannel().wakeupReads();
+                    }
+                }
+                return !speaking;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
         /** False where another exchange of this id is open. */
         boolean began(String id, Exchange x) {
             // Danger: two under one id could not be told apart by the backends.
@@ -68,7 +96,6 @@
             exchange = null;
             fresh = false;
             speaking = false;
-            due = false;
             quietSince = clock.now();
             if (connection.isOpen()) {
                 quiet.add(this);
@@ -110,8 +137,6 @@
         all.put(connection, visitor);
         quiet.add(visitor);
         if (all.size() > most) {
-            // Danger: the requests of connections that were accepted together have not been read yet, and
-            // to close one then would lose its request. After this pass over the sockets they have.
             io.execute(this::makeRoom);
         }
     }
@@ -127,7 +152,7 @@
         List<Visitor> silent = new ArrayList<>();
         int over = all.size() - most;
         for (Visitor each : quiet) {
-            if (silent.size() < over && !each.speaking) {
+            if (silent.size() < over && each.isSilent()) {
                 silent.add(each);
             }
         }
@@ -139,11 +164,9 @@
         forgetClosed();
         double now = clock.now();
         for (Visitor each : List.copyOf(quiet)) {
-            // Danger: after a pause of the process a request may be waiting unread; the next pass reads it.
-            if (each.due && each.isOverdue(now)) {
+            if (each.isOverdue(now) && (each.speaking || each.isSilent())) {
                 close(each);
             }
-            each.due = each.isOverdue(now);
         }
     }
 
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -2,10 +2,7 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.Headers;
-import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +38,7 @@
     }
 
     private Links links(InetSocketAddress discovery) {
-        return new Links(discovery, new Dialler(io), buffers, clock, new Links.Budget(4), 4);
+        return new Links(discovery, io, buffers, clock, new Links.Budget(4), 4);
     }
 
     /** Where lists are told unasked the watch runs from the start; elsewhere the decisions begin it. */
@@ -80,12 +77,12 @@
         }
         String path = "/v1/servers" + (revision < 0 ? "" : "?from=" + revision + "&hold_ms="
                 + Math.round(HOLD * 1000));
-        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(path);
-        request.getRequestHeaders().put(Headers.HOST, links.address.getHostString());
-        call = Call.begin(links, request, new byte[0], MOST_LIST, SLACK, revision < 0 ? SLACK : HOLD + SLACK,
-                this::answered);
+        call = Call.make(links, Call.get(path, links.address.getHostString()), MOST_LIST, SLACK,
+                revision < 0 ? SLACK : HOLD + SLACK, this::answered);
         if (call == null) {
             failed("no connection free");
+        } else {
+            call.start();
         }
     }
 
--- a/src/test/java/lemondrift/World.java
+++ b/src/test/java/lemondrift/World.java
@@ -59,7 +59,7 @@
     }
 
     static Listed line(int i, Listed.State state, double started) {
-        return new Listed(i, i % 2, i % 4, state, started);
+        return new Listed(i, false, i % 2, i % 4, state, started);
     }
 
     void did(Turn turn) {
