--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -19,7 +19,7 @@
         Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
         List<String> reportNames, double idle, double connectTimeout, JsonObject known) {
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
-    private static final int OTHERS = 64;
+    private static final int OTHERS = 40;
 
     /** How many connections the proxy may hold. */
     int connections() {
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -41,11 +41,12 @@
     private static final HttpString TENANT = new HttpString("X-Customer");
     private static final int MOST_HEAD = 16 * 1024;
     /** The share of the proxy's connections that clients may have, and where no more are accepted. */
-    private static final double SHARE = 0.55, LAST = 0.6;
+    private static final double SHARE = 0.6, LAST = 0.66;
     /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
-    /** Milliseconds for which an answer to a request that is not read to its end may be fetched. */
+    /** Milliseconds for which an answer to what is no exchange may be fetched, and no more is read. */
     private static final int LINGER = 200;
+    private static final byte[] NOTHING = "not an exchange\n".getBytes(StandardCharsets.US_ASCII);
     private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
     /** On a connection whose end is listened for. */
     private static final AttachmentKey<Visitors.Visitor> HEARD = AttachmentKey.create(Visitors.Visitor.class);
@@ -175,6 +176,26 @@
                 });
     }
 
+    /**
+     * Answers at once what can be read but not used, and reads no more on its connection for a while. Danger:
+     * clients that send the same again as soon as it is turned away would take all of the processor.
+     */
+    private void turnAway(HttpServerExchange client) {
+        client.setStatusCode(400);
+        client.setResponseContentLength(NOTHING.length);
+        client.getResponseSender().send(ByteBuffer.wrap(NOTHING), new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange done, Sender sender) {
+                worker.getIoThread().executeAfter(done::endExchange, LINGER, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public void onException(HttpServerExchange failed, Sender sender, IOException e) {
+                failed.endExchange();
+            }
+        });
+    }
+
     private static StreamConnection channel(HttpServerExchange client) {
         return ((AbstractServerConnection) client.getConnection()).getChannel();
     }
@@ -184,7 +205,7 @@
             Exchange x = exchange(client.getRequestHeaders());
             Visitors.Visitor visitor = visitors.of(channel(client));
             if (x == null || visitor == null || !visitor.began(only(client.getRequestHeaders(), TRACE), x)) {
-                reject(client, 400);
+                turnAway(client);
                 return;
             }
             busy = true;
@@ -269,7 +290,7 @@
     void giveUp(HttpServerExchange client, boolean shed, double retryAfter) {
         if (shed && retryAfter > 0) {
             client.getResponseHeaders().put(Headers.RETRY_AFTER,
-                    String.format(java.util.Locale.ROOT, "%.3f", retryAfter));
+                    String.valueOf(Math.ceil(retryAfter * 1000) / 1000));
         }
         end(client, shed ? 503 : 502);
     }
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -21,4 +21,7 @@
 
     /** A backend is no longer ready or has another address: what stands idle there is closed. */
     void letGo(int backend);
+
+    /** All that was asked for since the last time is to be done now. */
+    void act();
 }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -21,6 +21,8 @@
 final class Owner {
     private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
     private static final int QUEUED = 4096;
+    /** How many events are handled before the sockets are told what came of them. */
+    private static final int AT_A_TIME = 32;
     private static final double LONGEST_WAIT = 10;
 
     /** Something that happened, and the exchange that it is about, if any. */
@@ -116,12 +118,14 @@
                 double wait = Math.min(LONGEST_WAIT, wakeAt - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
-                if (event != null) {
+                for (int i = 0; event != null; i++) {
                     handle(event);
+                    event = i < AT_A_TIME ? queue.poll() : null;
                 }
                 if (wakeAt <= clock.now()) {
                     handle(new Event(null, () -> balancer.wake(clock.now())));
                 }
+                hands.act();
             } catch (InterruptedException e) {
                 return;
             }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -5,6 +5,8 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import lemondrift.decide.Balancer;
 import lemondrift.model.Forward;
 import lemondrift.model.ServiceGrade;
@@ -124,9 +126,10 @@
         return phase;
     }
 
-    /** Carries the owner's wishes to the I/O thread. */
+    /** Carries the wishes of the owner to the I/O thread, many at once: each wake of it costs a switch. */
     private final class Sockets implements Hands {
         private final XnioIoThread io;
+        private List<Runnable> wishes = new ArrayList<>();
 
         Sockets(XnioIoThread io) {
             this.io = io;
@@ -134,37 +137,55 @@
 
         @Override
         public void send(Forward f, Taken taken, InetSocketAddress to) {
-            io.execute(() -> backends.send(f, taken, to));
+            wishes.add(() -> backends.send(f, taken, to));
         }
 
         @Override
         public void cancel(Forward f) {
-            io.execute(() -> backends.cancel(f));
+            wishes.add(() -> backends.cancel(f));
         }
 
         @Override
         public void probe(int backend, InetSocketAddress to) {
-            io.execute(() -> backends.probe(backend, to));
+            wishes.add(() -> backends.probe(backend, to));
         }
 
         @Override
         public void list(Turn.ListCall call) {
-            io.execute(() -> watch.asked(call));
+            wishes.add(() -> watch.asked(call));
         }
 
         @Override
         public void deliver(Taken taken, Answer answer) {
-            io.execute(() -> front.deliver(taken.client(), answer));
+            wishes.add(() -> front.deliver(taken.client(), answer));
         }
 
         @Override
         public void giveUp(Taken taken, boolean shed, double retryAfter) {
-            io.execute(() -> front.giveUp(taken.client(), shed, retryAfter));
+            wishes.add(() -> front.giveUp(taken.client(), shed, retryAfter));
         }
 
         @Override
         public void letGo(int backend) {
-            io.execute(() -> backends.letGo(backend));
+            wishes.add(() -> backends.letGo(backend));
+        }
+
+        @Override
+        public void act() {
+            if (!wishes.isEmpty()) {
+                List<Runnable> all = wishes;
+                wishes = new ArrayList<>();
+                io.execute(() -> all.forEach(this::act));
+            }
+        }
+
+        /** Danger: one that fails must not keep the others from being done. */
+        private void act(Runnable wish) {
+            try {
+                wish.run();
+            } catch (RuntimeException e) {
+                LOG.error("not done", e);
+            }
         }
     }
 }
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -27,6 +27,8 @@
 
     private static int start(Map<String, String> environment, PrintStream err, boolean serving) {
         System.setProperty("org.jboss.logging.provider", "slf4j");
+        // XNIO offers its figures as management beans where it can; to set that up is a third of the start.
+        System.setProperty("javax.management.builder.initial", "none");
         try {
             String file = environment.get("PROXY_CONFIG");
             if (file == null) {
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -10,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import lemondrift.model.Exchange;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -23,6 +23,8 @@
     /** Seconds that one may say nothing, take for a request, and take for its first one since it came. */
     private static final double SILENT = 2.2, SPEAKING = 2.5, FIRST = 2.6;
     private static final double SWEEP = 0.2;
+    /** Seconds that a new one has for its first word, and twice that for its first request, in a crowd. */
+    private static final double PATIENCE = 0.1;
 
     /** One connection. What it says is heard below Undertow, which tells of whole requests only. */
     final class Visitor {
@@ -149,19 +151,25 @@
     /** Danger: connections that say nothing would keep those out that bring exchanges. */
     private void makeRoom() {
         forgetClosed();
-        List<Visitor> silent = new ArrayList<>();
-        int over = all.size() - most;
-        for (Visitor each : quiet) {
-            if (silent.size() < over && each.isSilent()) {
-                silent.add(each);
+        double now = clock.now();
+        makeRoom(each -> each.fresh && now - each.came > PATIENCE && each.isSilent());
+        // Danger: heads without end would keep all others out. None was answered here: nothing is lost.
+        makeRoom(each -> each.fresh && now - each.came > 2 * PATIENCE);
+        makeRoom(each -> !each.fresh && each.isSilent());
+    }
+
+    /** Closes such as this, the longest quiet first, until there are few enough. */
+    private void makeRoom(Predicate<Visitor> such) {
+        for (Visitor each : all.size() > most ? List.copyOf(quiet) : List.<Visitor>of()) {
+            if (all.size() > most && such.test(each)) {
+                close(each);
             }
         }
-        silent.forEach(this::close);
     }
 
     /** Danger: a head or body without end would hold its connection and its buffers for good. */
     private void sweep() {
-        forgetClosed();
+        makeRoom();
         double now = clock.now();
         for (Visitor each : List.copyOf(quiet)) {
             if (each.isOverdue(now) && (each.speaking || each.isSilent())) {
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -116,6 +116,10 @@
         did.add((shed ? "shed " : "scrapped ") + taken.exchange().id);
     }
 
+    @Override
+    public void act() {
+    }
+
     @Override
     public void letGo(int backend) {
         did.add("let go");
