--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -124,7 +125,8 @@
         String path = config.reportNames().isEmpty() ? "/healthz" : "/load";
         Call call = Call.make(links(backend, to), Call.get(path, "backend"), MOST_BODY,
                 config.connectTimeout(), config.connectTimeout(), answer -> owner.probed(backend,
-                        outcome(answer), report(new String(answer.body(), StandardCharsets.ISO_8859_1))));
+                        outcome(answer), report(new String(answer.body(), StandardCharsets.ISO_8859_1),
+                                config.reportNames())));
         if (call == null) {
             owner.probed(backend, Outcome.MOOT, null);
         } else {
@@ -176,11 +178,12 @@
 
     /** Danger: of two reports it is not known which is meant. */
     private double[] report(Answer answer) {
-        return answer.headers().count(LOAD) == 1 ? report(answer.headers().getFirst(LOAD)) : null;
+        return answer.headers().count(LOAD) != 1 ? null
+                : report(answer.headers().getFirst(LOAD), config.reportNames());
     }
 
-    /** Reads TEXT name=value, name=value into the figures that the settings name; null if one lacks. */
-    private double[] report(String text) {
+    /** Reads TEXT name=value, name=value into the figures of these names; null if one lacks or is none. */
+    static double[] report(String text, List<String> names) {
         Map<String, String> pairs = new HashMap<>();
         String list = text.strip();
         for (String pair : list.substring(list.startsWith("TEXT ") ? 5 : 0).split(",")) {
@@ -188,7 +191,7 @@
             pairs.put(pair.substring(0, Math.max(0, equals)).strip(), pair.substring(equals + 1).strip());
         }
         try {
-            double[] figures = config.reportNames().stream()
+            double[] figures = names.stream()
                     .mapToDouble(name -> Double.parseDouble(pairs.get(name))).toArray();
             // Danger: a figure that is none or negative would make its backend the least utilised for good.
             return Arrays.stream(figures).allMatch(each -> each >= 0 && each < UNHEARD_OF) ? figures : null;
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import lemondrift.decide.Balancer;
 import lemondrift.model.*;
 import org.junit.jupiter.api.AfterEach;
@@ -83,6 +84,36 @@
         assertEquals("shed 1", next());
     }
 
+    private static List<Listed> listed(Directory directory, boolean whole, String... idPhasePort) {
+        String members = List.of(idPhasePort).stream().map(each -> each.replaceFirst("(.+) (.+) (.+)",
+                "{\"id\":\"$1\",\"phase\":\"$2\",\"host_port\":\"127.0.0.1:$3\",\"cell\":3}"))
+                .collect(Collectors.joining(","));
+        return directory.listed(JsonParser.parseString("{\"members\":[" + members + "]}").getAsJsonObject(),
+                whole);
+    }
+
+    @Test
+    void anIndexPassesOnOnceItsBackendIsGoneAndNothingSpeaksOfIt() {
+        Directory directory = new Directory(List.of("a"));
+        listed(directory, true, "one active 1", "two active 2");
+        directory.hold(0);
+        assertTrue(listed(directory, true, "two active 2").contains(
+                new Listed(0, false, 0, 3, Listed.State.GONE, 0)), "gone without a word");
+        assertEquals(2, listed(directory, false, "three active 3").get(0).backend(), "still spoken of");
+        directory.letGo(0);
+        assertEquals(new Listed(0, true, 0, 3, Listed.State.READY, 0),
+                listed(directory, false, "four active 4").get(0));
+        assertEquals(3, listed(directory, false, "one active 1").get(0).backend(), "another place");
+    }
+
+    @Test
+    void anAddressThatPassesOnTakesItsOldBackendAway() {
+        Directory directory = new Directory(List.of("a"));
+        listed(directory, true, "one active 1");
+        assertEquals(List.of(new Listed(0, false, 0, 3, Listed.State.GONE, 0),
+                new Listed(0, true, 0, 3, Listed.State.READY, 0)), listed(directory, false, "two active 1"));
+    }
+
     @Override
     public void send(Forward f, Taken taken, InetSocketAddress to) {
         if (failing) {
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.xnio.XnioWorker;
 
 /** The real proxy on loopback, between stand-ins for clients, backends and discovery. */
 class ProxyTest {
@@ -463,6 +464,60 @@
         assertEquals(502, order("x").statusCode());
     }
 
+    @Test
+    void whatLiesBeyondAnAnswerIsNeverTheNextOnes() throws Exception {
+        start(backend(OK + http("evil")));
+        for (int i = 0; i < 6; i++) {
+            assertEquals("body", look().body());
+        }
+    }
+
+    @Test
+    void interimAnswersArePassedOver() throws Exception {
+        start(backend("HTTP/1.1 103 Early Hints\r\nLink: a\r\nContent-Length: 9\r\n\r\n"
+                + "HTTP/1.1 100 Continue\r\n\r\n" + OK));
+        assertEquals("body", order("x").body());
+    }
+
+    @Test
+    void anAnswerThatCanBeReadInTwoWaysIsABrokenOne() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\n";
+        List<String> spoilt = List.of(head + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+                head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                head + "Content-Length: -4\r\n\r\nbody", head + "Content-Length: 3000000000\r\n\r\nbody",
+                head + "Content-Length : 4\r\n\r\nbody", head + "\r\nbody", "HTTP/1.1 200 OK\n\nbody",
+                "\u0001\u0002noise\r\n\r\n", head + "X: " + "x".repeat(20_000));
+        start(backend(request -> spoilt.get(Integer.parseInt(request.replaceAll("(?s).*\r\n", "")))));
+        for (int i = 0; i < spoilt.size(); i++) {
+            assertEquals(502, order(String.valueOf(i)).statusCode(), spoilt.get(i));
+        }
+    }
+
+    @Test
+    void aFullBudgetClosesTheOldestIdleConnectionOfAnotherPool() throws Exception {
+        XnioWorker worker = Proxy.worker();
+        Links.Budget budget = new Links.Budget(1);
+        Links one = new Links(null, worker.getIoThread(), null, null, () -> 0, budget, 4);
+        Links other = new Links(null, worker.getIoThread(), null, null, () -> 0, budget, 4);
+        assertTrue(one.reserve());
+        Links.Link link = one.opened(worker.createFullDuplexPipeConnection().getLeftSide());
+        assertFalse(other.reserve(), "busy");
+        one.back(link);
+        assertTrue(other.reserve());
+        assertFalse(link.connection.isOpen());
+        worker.shutdown();
+    }
+
+    @Test
+    void aReportWithFiguresThatAreNoneIsNone() {
+        List<String> names = List.of("queue", "util");
+        assertArrayEquals(new double[] {2, 0.5}, Backends.report("TEXT util=0.5, x=1, queue=2", names));
+        for (String bad : List.of("", "TEXT", "TEXT queue=2", "queue=2, util=NaN", "queue=-1, util=0.5",
+                "queue=2, util=Infinity", "queue=2, util=1e300", "queue=2, util=", "\u0001\u0002")) {
+            assertNull(Backends.report(bad, names), bad);
+        }
+    }
+
     @Test
     void loadReportsDecide() throws Exception {
         StandIn busy = backend(request -> request.startsWith("GET /load")
