--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -92,8 +92,7 @@
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         boolean good = outcome == Outcome.DELIVERED;
         answerTime += good ? (took - answerTime) / 50 : 0;
-        // Danger: one that drains untold turns all away at once and so looks the least utilised.
-        if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
+        if (outcome != Outcome.FULL && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
             judge(f.backend, !good, now, turn);
         }
         super.ended(f, outcome, took, now, turn);
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -183,7 +183,7 @@
         World w = World.of(2).load(0.9, 0);
         for (int i = 0; i < 20; i++) {
             Forward f = w.arrive(PURE);
-            w.end(f, f.backend == 1 ? Outcome.RESET : Outcome.DELIVERED, 0.3, 0);
+            w.end(f, f.backend == 1 ? Outcome.RESET : Outcome.DELIVERED, 0.9, 0);
         }
         assertEquals(0, w.arrive(PURE).backend, "the other is suspended");
         w.list(false, false, List.of(new Listed(1, true, 0, 0, Listed.State.READY, 0)));
