One odd try with more time no longer makes retries of all that follow

Checked: sheds and takes logged. All of the grade came with a contract time in the past: one try had brought 306 ms, the first tries bring 245 ms and the second ones 147 ms, so all counted as retries whose first try's time was over, for good. Ruled out: the wait to expect (1 to 4 ms), quotas, silent probes. Line at fault: Expiry.take, the longest time seen of a grade never falls. Now: after eight tries in a row with less time the longest one is given up for the present one's.

--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -23,9 +23,8 @@
     /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
     private double answerTime;
 
-    private double[] score = {};
-    /** 0 is not suspended; when all sent to a cold one has drained as it may. */
-    private double[] suspendedUntil = {}, drainedAt = {};
+    /** The test's; 0 is not suspended; when all sent to a cold one has drained as it may. */
+    private double[] score = {}, suspendedUntil = {}, drainedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -20,10 +20,8 @@
     private final Settings.Reports places;
     private final Fleet fleet;
     private final int balancers;
-    /** The lower quartile of answer times: three steps down balance one up; and how many there were. */
-    private double quick, answers;
-    /** The time that an exchange, and each one ahead of it, takes of late. */
-    private double pace;
+    /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
+    private double quick, answers, pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded[] heard, heards;
@@ -139,7 +137,6 @@
     }
 
     void forget(int i) {
-        reportedAt[i] = rated[i] = 0;
-        sends[i] = 0;
+        reportedAt[i] = rated[i] = sends[i] = 0;
     }
 }
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -6,8 +6,11 @@
 
 /** Rule 1: one final answer before expiry and nothing sent after it. */
 final class Expiry extends Stage {
+    /** After so many tries of a grade, all with less time, the longest time was an odd one's. */
+    private static final int ODD = 8;
+
     private final ServiceGrade[] grades;
-    private final double[] longest;
+    private final double[] longest, since;
     private final boolean mayCancel;
     private final double longestRetryAfter;
     private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
@@ -15,6 +18,7 @@
     Expiry(Settings s) {
         grades = s.grades().toArray(new ServiceGrade[0]);
         longest = new double[grades.length];
+        since = new double[grades.length];
         mayCancel = s.limits().cancel();
         longestRetryAfter = s.limits().retryAfter();
     }
@@ -24,7 +28,8 @@
         ServiceGrade grade = grades[x.grade];
         double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
         double left = x.expiry - now;
-        longest[x.grade] = Math.max(longest[x.grade], left);
+        since[x.grade] = left < 0.99 * longest[x.grade] ? since[x.grade] + 1 : 0;
+        longest[x.grade] = since[x.grade] > ODD ? left : Math.max(longest[x.grade], left);
         // Danger: a try with less time left than others is a retry; work done after the first's time is lost.
         double age = left < 0.99 * longest[x.grade] ? Math.max(0, grade.expiry() - left) : 0;
         x.contract = Math.min(x.expiry, x.arrived + useful - age);
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -304,6 +304,21 @@
         assertTrue(w.answers.get(0).shed());
     }
 
+    @Test
+    void anOddTryWithMoreTimeDoesNotMakeRetriesOfAllThatFollow() {
+        World w = World.of(2);
+        w.did(w.balancer.exchangeArrived(w.now, new Exchange(9, ONCE, 0, w.now, 9)));
+        int sent = 0;
+        for (int i = 0; i < 20; i++) {
+            Forward f = w.arrive(ONCE);
+            sent += f == null ? 0 : 1;
+            if (f != null) {
+                w.end(f, Outcome.DELIVERED, 0, 0);
+            }
+        }
+        assertTrue(sent >= 10, sent + " of 20 went out");
+    }
+
     @Test
     void aBegunStreamHasNoExpiry() {
         World w = World.of(1);
