--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -7,7 +7,7 @@
 /** Rule 1: one final answer before expiry and nothing sent after it. */
 final class Expiry extends Stage {
     /** After so many tries of a grade, all with less time, the longest time was an odd one's. */
-    private static final int ODD = 8;
+    private static final int ODD = 4;
 
     private final ServiceGrade[] grades;
     private final double[] longest, since;
@@ -28,13 +28,10 @@
         ServiceGrade grade = grades[x.grade];
         double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
         double left = x.expiry - now;
-        int g = x.grade;
-        if (!x.marked) {
-            since[g] = left < 0.99 * longest[g] ? since[g] + 1 : 0;
-            longest[g] = since[g] > ODD ? left : Math.max(longest[g], left);
-        }
+        since[x.grade] = left < 0.99 * longest[x.grade] ? since[x.grade] + 1 : 0;
+        longest[x.grade] = since[x.grade] > ODD ? left : Math.max(longest[x.grade], left);
         // Danger: a try with less time left than others is a retry; work done after the first's time is lost.
-        double age = left < 0.99 * longest[g] ? Math.max(0, grade.expiry() - left) : 0;
+        double age = left < 0.99 * longest[x.grade] ? Math.max(0, grade.expiry() - left) : 0;
         x.contract = Math.min(x.expiry, x.arrived + useful - age);
         open.add(x);
         again(x, now, turn);
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -38,7 +38,6 @@
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
     private static final HttpString TENANT = new HttpString("X-Customer");
-    private static final HttpString MARK = new HttpString("X-Second-Try");
     private static final int MOST_HEAD = 16 * 1024;
     /** The share of the proxy's connections that clients may have, and where no more are accepted. */
     private static final double SHARE = 0.6, LAST = 0.66;
@@ -235,9 +234,7 @@
             return null;
         }
         double now = clock.now();
-        Exchange x = new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3);
-        x.marked = only(headers, MARK).equals("1");
-        return x;
+        return new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3);
     }
 
     private static String only(HeaderMap headers, HttpString field) {
