--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -584,7 +584,8 @@
         while (proxy.phase() != Proxy.Phase.DRAINING) {
             Thread.onSpinWait();
         }
-        var late = http.sendAsync(request("look").build(), HttpResponse.BodyHandlers.ofString());
+        var late = http.sendAsync(request("look").setHeader("X-Trace-Id", "late").build(),
+                HttpResponse.BodyHandlers.ofString());
         go.countDown();
         assertEquals(200, before.get().statusCode());
         assertEquals(200, late.get().statusCode());
