--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -19,25 +19,29 @@
     private final Chance chance;
     /** Seconds of one warm core's work that this proxy may send in any fall window, and that window. */
     private final double coldBudget, fallWindow;
+    private final int tests;
     private double usualBad = SOUND;
     /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
     private double answerTime;
 
-    /** The test's; 0 is not suspended; when all sent to a cold one has drained as it may. */
-    private double[] score = {}, suspendedUntil = {}, drainedAt = {};
+    /** A test of all of a backend's outcomes, then one for each grade's; 0 is not suspended. */
+    private double[] score = {}, suspendedUntil = {};
+    /** When all sent to a cold one has drained as it may. */
+    private double[] drainedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
         this.estimate = estimate;
         this.chance = chance;
+        tests = 1 + s.grades().size();
         answerTime = estimate.window / 2;
         fallWindow = s.rules().fallWindow();
         coldBudget = s.rules().fallMultiple() * fallWindow / s.balancers();
     }
 
     void listed(double now) {
-        score = Arrays.copyOf(score, fleet.size);
-        suspendedUntil = Arrays.copyOf(suspendedUntil, fleet.size);
+        score = Arrays.copyOf(score, fleet.size * tests);
+        suspendedUntil = Arrays.copyOf(suspendedUntil, fleet.size * tests);
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.started[i] >= fleet.startSeen[i]) {
@@ -50,8 +54,8 @@
         fleet.startSeen[i] = Math.nextUp(fleet.started[i]);
         // Danger: one exchange from each of hundreds of proxies at once spends a start's budget many times.
         drainedAt[i] = now + chance.next() * Math.max(0, drain(i, 1, now) - fallWindow);
-        score[i] = 0;
-        suspendedUntil[i] = 0;
+        Arrays.fill(score, i * tests, (i + 1) * tests, 0);
+        Arrays.fill(suspendedUntil, i * tests, (i + 1) * tests, 0);
         estimate.forget(i);
     }
 
@@ -76,7 +80,12 @@
     @Override
     boolean mayTake(Exchange x, int i, double now) {
         return fleet.ready[i] && hasRoom(i, now) && super.mayTake(x, i, now)
-                && (suspendedUntil[i] == 0 || suspendedUntil[i] <= now && fleet.out[i] == 0);
+                && isSound(i, 0, now) && isSound(i, 1 + x.grade, now);
+    }
+
+    private boolean isSound(int i, int test, double now) {
+        double until = suspendedUntil[i * tests + test];
+        return until == 0 || until <= now && fleet.out[i] == 0;
     }
 
     @Override
@@ -92,33 +101,36 @@
         boolean good = outcome == Outcome.DELIVERED;
         answerTime += good ? (took - answerTime) / 50 : 0;
         if (outcome != Outcome.FULL && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
-            judge(f.backend, !good, now, turn);
+            usualBad += ((good ? 0 : 1) - usualBad) / 100;
+            judge(f.backend, 0, !good, now, turn);
+            // Danger: one that fails one grade alone would go on taking it, the others' good outcomes between.
+            judge(f.backend, 1 + f.exchange.grade, !good, now, turn);
         }
         super.ended(f, outcome, took, now, turn);
     }
 
     /** One step of the sequential test: as bad as the fleet, or halfway from there to always bad. */
-    private void judge(int i, boolean bad, double now, Turn turn) {
-        usualBad += ((bad ? 1 : 0) - usualBad) / 100;
+    private void judge(int i, int test, boolean bad, double now, Turn turn) {
+        int k = i * tests + test;
         double usual = Math.max(SOUND, usualBad);
         double step = bad ? Math.log((1 + usual) / 2 / usual) : Math.log(0.5);
-        score[i] = Math.max(0, Math.min(SUSPEND_AT, score[i] + step));
-        boolean onTrial = suspendedUntil[i] > 0 && suspendedUntil[i] <= now;
+        score[k] = Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
+        boolean onTrial = suspendedUntil[k] > 0 && suspendedUntil[k] <= now;
         if (onTrial && bad) {
-            suspendedUntil[i] = now + chance.jitter(estimate.window);
+            suspendedUntil[k] = now + chance.jitter(estimate.window);
         } else if (onTrial) {
-            suspendedUntil[i] = 0;
-            score[i] = SUSPEND_AT / 2;
-            turn.notes.add("backend " + i + " restored");
-        } else if (suspendedUntil[i] == 0 && score[i] >= SUSPEND_AT && maySuspend()) {
-            suspendedUntil[i] = now + chance.jitter(estimate.window);
-            turn.notes.add("backend " + i + " suspended, bad outcomes");
+            suspendedUntil[k] = 0;
+            score[k] = SUSPEND_AT / 2;
+            turn.notes.add("backend " + i + " restored" + (test == 0 ? "" : ", grade " + (test - 1)));
+        } else if (suspendedUntil[k] == 0 && score[k] >= SUSPEND_AT && maySuspend(test)) {
+            suspendedUntil[k] = now + chance.jitter(estimate.window);
+            turn.notes.add("backend " + i + " suspended" + (test == 0 ? "" : ", grade " + (test - 1)));
         }
     }
 
     /** Danger: suspending most of the fleet for a fault that all share pushes the rest over. */
-    private boolean maySuspend() {
-        long count = Arrays.stream(fleet.order).filter(i -> suspendedUntil[i] != 0).count();
+    private boolean maySuspend(int test) {
+        long count = Arrays.stream(fleet.order).filter(i -> suspendedUntil[i * tests + test] != 0).count();
         return count + 1 <= MOST_SUSPENDED * fleet.order.length;
     }
 
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -12,9 +12,8 @@
     /** How many own outcomes the pace is taken over. */
     private static final int FEW = 8;
 
-    /** The window of the design page, which is the shortest contract time, and the memory in seconds. */
-    final double window, memory;
-    private final double horizon;
+    /** The window of the design page, which is the shortest contract time; spans in which things fade. */
+    final double window, memory, horizon;
     /** Reports say utilisation alone, which is an average that stays while hundreds of proxies act on it. */
     final boolean averages;
     private final Settings.Reports places;
@@ -131,8 +130,7 @@
                         : quick * (took < quick ? 1 - 3 * step : 1 + step);
                 waited(places.inAnswers() ? wait(i, now) : Math.max(0, took - quick), now);
             }
-            case TIMED_OUT, CONNECT_FAILED, FULL ->
-                waited(outcome == Outcome.FULL ? window : took, now);
+            case TIMED_OUT, CONNECT_FAILED, FULL -> waited(outcome == Outcome.FULL ? window : took, now);
         }
     }
 
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -28,11 +28,9 @@
         if (whole) {
             Arrays.fill(ready, false);
         }
+        grow(Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1));
         for (Listed line : lines) {
             int i = line.backend();
-            if (i >= size) {
-                grow(i + 1);
-            }
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -38,12 +38,11 @@
 
     @Override
     boolean mayTake(Exchange x, int i, double now) {
-        for (Forward f = x.latest; f != null; f = f.earlier) {
-            if (f.backend == i) {
-                return false;
-            }
+        Forward f = x.latest;
+        while (f != null && f.backend != i) {
+            f = f.earlier;
         }
-        return (x.mayHaveRun == null || mayRepeat(grades[x.grade], x.mayHaveRun, i, now))
+        return f == null && (x.mayHaveRun == null || mayRepeat(grades[x.grade], x.mayHaveRun, i, now))
                 && super.mayTake(x, i, now);
     }
 
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -190,6 +190,23 @@
         assertEquals(1, w.arrive(PURE).backend);
     }
 
+    @Test
+    void oneThatFailsOneGradeAloneTakesTheOthers() {
+        World w = World.of(4);
+        int[] bad = new int[4], good = new int[4];
+        for (int i = 0; i < 400; i++) {
+            int grade = i % 4 == 0 ? ONCE : PURE;
+            Forward f = w.arrive(grade);
+            w.now += 0.001;
+            boolean fails = f.backend == 2 && grade == ONCE;
+            w.end(f, fails ? Outcome.RESET : Outcome.DELIVERED, 0.3, 0);
+            bad[f.backend] += fails ? 1 : 0;
+            good[f.backend] += fails ? 0 : 1;
+        }
+        assertTrue(bad[2] <= 8, bad[2] + " went where their grade fails");
+        assertTrue(good[2] >= 40, good[2] + " of the others still do");
+    }
+
     @Test
     void aSharedFaultSuspendsAtMostHalf() {
         World w = World.of(4);
