--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -9,6 +9,8 @@
     private static final double SOUND = 0.05;
     /** The sequential test suspends when a sick backend explains the outcomes this many times better. */
     private static final double SUSPEND_AT = Math.log(1000);
+    /** A suspension doubles with each trial that fails, to this many windows. */
+    private static final double LONGEST = 8;
     /** At most this share of the ready backends is suspended; beyond it the fault is more likely shared. */
     private static final double MOST_SUSPENDED = 0.5;
     /** A probe's work as a share of an exchange's, where a cold backend's allowance counts it. */
@@ -24,10 +26,8 @@
     /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
     private double answerTime;
 
-    /** A test of all of a backend's outcomes, then one for each grade's; 0 is not suspended. */
-    private double[] score = {}, suspendedUntil = {};
-    /** When all sent to a cold one has drained as it may. */
-    private double[] drainedAt = {};
+    /** A test of all outcomes, then one for each grade's; 0 is not suspended; when a cold one has drained. */
+    private double[] score = {}, suspendedUntil = {}, drainedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
@@ -71,9 +71,8 @@
     }
 
     private void spend(int i, double exchanges, double now) {
-        if (fleet.coldShare(i, now) < 1) {
-            drainedAt[i] = Math.max(drainedAt[i], now) + drain(i, exchanges, now);
-        }
+        drainedAt[i] = fleet.coldShare(i, now) == 1 ? drainedAt[i]
+                : Math.max(drainedAt[i], now) + drain(i, exchanges, now);
     }
 
     /** One whose suspension is over takes one exchange at a time, until that has ended well. */
@@ -101,9 +100,9 @@
         boolean good = outcome == Outcome.DELIVERED;
         answerTime += good ? (took - answerTime) / 50 : 0;
         if (outcome != Outcome.FULL && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
-            usualBad += ((good ? 0 : 1) - usualBad) / 100;
+            usualBad = Math.max(SOUND, usualBad + ((good ? 0 : 1) - usualBad) / 100);
             judge(f.backend, 0, !good, now, turn);
-            // Danger: one that fails one grade alone would go on taking it, the others' good outcomes between.
+            // Danger: one that fails a grade would go on taking it, the others' good outcomes between.
             judge(f.backend, 1 + f.exchange.grade, !good, now, turn);
         }
         super.ended(f, outcome, took, now, turn);
@@ -112,12 +111,12 @@
     /** One step of the sequential test: as bad as the fleet, or halfway from there to always bad. */
     private void judge(int i, int test, boolean bad, double now, Turn turn) {
         int k = i * tests + test;
-        double usual = Math.max(SOUND, usualBad);
-        double step = bad ? Math.log((1 + usual) / 2 / usual) : Math.log(0.5);
-        score[k] = Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
+        double step = bad ? Math.log((1 + usualBad) / 2 / usualBad) : Math.log(0.5);
+        score[k] = suspendedUntil[k] > 0 ? score[k] : Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
         boolean onTrial = suspendedUntil[k] > 0 && suspendedUntil[k] <= now;
         if (onTrial && bad) {
-            suspendedUntil[k] = now + chance.jitter(estimate.window);
+            score[k] = Math.min(LONGEST * SUSPEND_AT, 2 * score[k]);
+            suspendedUntil[k] = now + chance.jitter(estimate.window * score[k] / SUSPEND_AT);
         } else if (onTrial) {
             suspendedUntil[k] = 0;
             score[k] = SUSPEND_AT / 2;
@@ -130,8 +129,8 @@
 
     /** Danger: suspending most of the fleet for a fault that all share pushes the rest over. */
     private boolean maySuspend(int test) {
-        long count = Arrays.stream(fleet.order).filter(i -> suspendedUntil[i * tests + test] != 0).count();
-        return count + 1 <= MOST_SUSPENDED * fleet.order.length;
+        return 1 + Arrays.stream(fleet.order).filter(i -> suspendedUntil[i * tests + test] != 0).count()
+                <= MOST_SUSPENDED * fleet.order.length;
     }
 
     void probing(double now, Turn turn) {
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -25,9 +25,7 @@
 
     /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
     void listed(boolean whole, List<Listed> lines) {
-        if (whole) {
-            Arrays.fill(ready, false);
-        }
+        Arrays.fill(ready, 0, whole ? size : 0, false);
         grow(Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1));
         for (Listed line : lines) {
             int i = line.backend();
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -153,13 +153,10 @@
 
     /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
     Exchange released(double now) {
-        for (Exchange x : kept) {
-            if (x.over || now >= x.keptUntil || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)) {
-                kept.remove(x);
-                return x;
-            }
-        }
-        return null;
+        Exchange done = kept.stream().filter(x -> x.over || now >= x.keptUntil
+                || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
+        kept.remove(done);
+        return done;
     }
 
     double wakeAt() {
