--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -5,6 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import lemondrift.settings.BadInput;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,16 +37,28 @@
                 throw new BadInput("PROXY_CONFIG is not set");
             }
             Config config = Config.read(Files.readString(Path.of(file)));
-            Rehearsal.play(config);
+            AtomicReference<Proxy> proxy = new AtomicReference<>();
+            AtomicBoolean hungUp = new AtomicBoolean();
+            if (serving) {
+                // Danger: a signal that comes before there is a proxy would end the program, as a crash does.
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy.get()), "drain"));
+                onHangUp(() -> {
+                    hungUp.set(true);
+                    reload(proxy.get(), file);
+                });
+            }
+            rehearse(config);
             if (serving) {
-                Proxy proxy = new Proxy(config);
+                proxy.set(new Proxy(config));
                 LOG.info("{} starts, listens on {}", config.name(), config.listen());
-                Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy), "drain"));
-                onHangUp(() -> reload(proxy, file));
-                proxy.serve();
+                proxy.get().serve();
+                if (hungUp.get()) {
+                    // The file may have been replaced after it was read for this start.
+                    reload(proxy.get(), file);
+                }
             }
             return 0;
-        } catch (IOException | InterruptedException | RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             err.println("lemondrift serve: " + e.toString().replace('\n', ' '));
             return 1;
         }
@@ -53,7 +67,9 @@
     /** Danger: two hang-ups in a row have a thread each, and the older file must not be followed last. */
     private static synchronized void reload(Proxy proxy, String file) {
         try {
-            proxy.reload(Config.read(Files.readString(Path.of(file))));
+            if (proxy != null) {
+                proxy.reload(Config.read(Files.readString(Path.of(file))));
+            }
         } catch (IOException | RuntimeException e) {
             LOG.warn("new configuration not used, the old one stays: {}", e.toString().replace('\n', ' '));
         }
@@ -76,9 +92,22 @@
         }
     }
 
+    /** Danger: a proxy that can't rehearse can still serve. */
+    private static void rehearse(Config config) {
+        try {
+            Rehearsal.play(config);
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("not rehearsed: {}", e.toString());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void end(Proxy proxy) {
         try {
-            proxy.drain();
+            if (proxy != null) {
+                proxy.drain();
+            }
         } catch (InterruptedException | RuntimeException e) {
             Thread.currentThread().interrupt();
         }
