Read over: one way to refuse a request, one bound on heads

turnAway was a second copy of reject that passed answer by, so while draining it did not close its connection as every other answer does; both now go through refuse. Its body is the status's reason, as reject's is. The bound of 16 KiB on heads stood in Front and in AnswerReader; it stands in Fields.

--- a/src/main/java/lemondrift/serve/AnswerReader.java
+++ b/src/main/java/lemondrift/serve/AnswerReader.java
@@ -16,7 +16,6 @@
  * lies beyond an answer for the next one.
  */
 final class AnswerReader {
-    private static final int MOST_HEAD = 16 * 1024;
     private static final Pattern CHUNK = Pattern.compile("([0-9A-Fa-f]{1,7})[ \\t]*(;.*)?");
 
     private enum Part { STATUS, FIELDS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_THE_END, WHOLE }
@@ -88,8 +87,8 @@
     private String line(ByteBuffer from) throws IOException {
         while (from.hasRemaining()) {
             char c = (char) (from.get() & 0xFF);
-            if (++inHeads > MOST_HEAD) {
-                throw new IOException("a head of over " + MOST_HEAD + " bytes");
+            if (++inHeads > Fields.MOST) {
+                throw new IOException("a head of over " + Fields.MOST + " bytes");
             }
             if (c == '\n') {
                 int end = line.length() - 1;
--- a/src/main/java/lemondrift/serve/Fields.java
+++ b/src/main/java/lemondrift/serve/Fields.java
@@ -4,6 +4,8 @@
 
 /** What may stand in a message's head. Danger: what one reader skips another may take for a line's end. */
 final class Fields {
+    /** Bytes that a head may have, a client's or a backend's. */
+    static final int MOST = 16 * 1024;
     private static final BitSet TOKEN = new BitSet();
 
     static {
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -23,6 +23,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import lemondrift.model.Exchange;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -38,14 +39,12 @@
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
     private static final HttpString TENANT = new HttpString("X-Customer");
-    private static final int MOST_HEAD = 16 * 1024;
     /** The share of the proxy's connections that clients may have, and where no more are accepted. */
     private static final double SHARE = 0.6, LAST = 0.66;
     /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
     /** Milliseconds for which an answer to what is no exchange may be fetched, and no more is read. */
     private static final int LINGER = 200;
-    private static final byte[] NOTHING = "not an exchange\n".getBytes(StandardCharsets.US_ASCII);
     /** On a connection whose end is listened for. */
     private static final AttachmentKey<Visitors.Visitor> HEARD = AttachmentKey.create(Visitors.Visitor.class);
 
@@ -68,7 +67,7 @@
         visitors = new Visitors(clock, worker.getIoThread(), (int) (SHARE * config.connections()));
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
-                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD).set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, Fields.MOST).set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
     }
@@ -158,46 +157,42 @@
      */
     private void reject(HttpServerExchange client, int status) {
         client.setPersistent(false);
-        StreamConnection connection = channel(client);
+        refuse(client, status, done -> {
+            if (done.isRequestComplete()) {
+                done.endExchange();
+            } else {
+                later(() -> IoUtils.safeClose(channel(done)));
+            }
+        });
+    }
+
+    /**
+     * Answers at once what can be read but not used, and reads no more on its connection for a while. Danger:
+     * clients that send the same again as soon as it is turned away would take all of the processor.
+     */
+    private void turnAway(HttpServerExchange client) {
+        refuse(client, 400, done -> later(done::endExchange));
+    }
+
+    private void later(Runnable task) {
+        worker.getIoThread().executeAfter(task, LINGER, TimeUnit.MILLISECONDS);
+    }
+
+    private void refuse(HttpServerExchange client, int status, Consumer<HttpServerExchange> then) {
         answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII),
                 new IoCallback() {
                     @Override
                     public void onComplete(HttpServerExchange done, Sender sender) {
-                        if (done.isRequestComplete()) {
-                            done.endExchange();
-                        } else {
-                            worker.getIoThread().executeAfter(() -> IoUtils.safeClose(connection), LINGER,
-                                    TimeUnit.MILLISECONDS);
-                        }
+                        then.accept(done);
                     }
 
                     @Override
                     public void onException(HttpServerExchange failed, Sender sender, IOException e) {
-                        IoUtils.safeClose(connection);
+                        IoUtils.safeClose(channel(failed));
                     }
                 });
     }
 
-    /**
-     * Answers at once what can be read but not used, and reads no more on its connection for a while. Danger:
-     * clients that send the same again as soon as it is turned away would take all of the processor.
-     */
-    private void turnAway(HttpServerExchange client) {
-        client.setStatusCode(400);
-        client.setResponseContentLength(NOTHING.length);
-        client.getResponseSender().send(ByteBuffer.wrap(NOTHING), new IoCallback() {
-            @Override
-            public void onComplete(HttpServerExchange done, Sender sender) {
-                worker.getIoThread().executeAfter(done::endExchange, LINGER, TimeUnit.MILLISECONDS);
-            }
-
-            @Override
-            public void onException(HttpServerExchange failed, Sender sender, IOException e) {
-                failed.endExchange();
-            }
-        });
-    }
-
     private static StreamConnection channel(HttpServerExchange client) {
         return ((AbstractServerConnection) client.getConnection()).getChannel();
     }
--- a/src/main/java/lemondrift/serve/Rehearsal.java
+++ b/src/main/java/lemondrift/serve/Rehearsal.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import lemondrift.model.Effect;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -105,7 +106,7 @@
     private String request() {
         int grade = (int) (++sent % config.gradeNames().size());
         String tenant = config.tenantNames().isEmpty() ? "" : config.tenantNames().get(0);
-        boolean pure = config.settings().grades().get(grade).effect() == lemondrift.model.Effect.PURE;
+        boolean pure = config.settings().grades().get(grade).effect() == Effect.PURE;
         return (pure ? "GET" : "POST") + " /rehearsal HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + sent
                 + "\r\nX-Qos: " + config.gradeNames().get(grade) + "\r\nX-Customer: " + tenant
                 + "\r\nX-Expires-In-Ms: 5000\r\n" + (pure ? "\r\n" : "Content-Length: 1\r\n\r\nx");
