Close connections with their answers while a quarter of the places stand unused

No place of the proxy's was short. Now: above a quarter of the places without an exchange, answers carry Connection: close. A test on loopback.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -300,7 +300,7 @@
         if (client.isResponseStarted() || client.isComplete()) {
             return;
         }
-        if (draining) {
+        if (draining || visitors.isCrowded()) {
             client.setPersistent(false);
         }
         client.setStatusCode(status);
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -23,6 +23,8 @@
     /** Seconds that one may say nothing, take for a request, and take for its first one since it came. */
     private static final double SILENT = 2.2, SPEAKING = 2.5, FIRST = 2.6;
     private static final double SWEEP = 0.2;
+    /** The share of the places that may stand without an exchange before answers close their connections. */
+    private static final double UNUSED = 0.25;
     /** Seconds that a new one has for its first word, and twice that for its first request, in a crowd. */
     private static final double PATIENCE = 0.1;
 
@@ -130,6 +132,11 @@
         return traces.size();
     }
 
+    /** Danger: clients that ask once and keep their connection would fill all places and keep others out. */
+    boolean isCrowded() {
+        return quiet.size() > UNUSED * most;
+    }
+
     Visitor of(StreamConnection connection) {
         return all.get(connection);
     }
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -338,6 +338,32 @@
         }
     }
 
+    /** Asks once on a connection of its own that stays open; its answer's head, or null. */
+    private String askAndStay(int id, List<Socket> stay) throws IOException {
+        Socket client = new Socket("127.0.0.1", proxy.address().getPort());
+        stay.add(client);
+        client.getOutputStream().write(("GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: stay-" + id
+                + "\r\nX-Qos: look\r\nX-Expires-In-Ms: 4000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return read(client);
+    }
+
+    @Test
+    void clientsThatAskOnceAndStayLeavePlacesToTheOthers() throws Exception {
+        start(backend(OK));
+        List<Socket> stay = new ArrayList<>();
+        int closed = 0;
+        for (int i = 0; i < 20; i++) {
+            String answer = askAndStay(i, stay);
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            closed += answer.toLowerCase().contains("connection: close") ? 1 : 0;
+        }
+        // Of 24 places a quarter may stand unused, and the one answered last is not counted yet.
+        assertEquals(13, closed);
+        for (Socket each : stay) {
+            each.close();
+        }
+    }
+
     @Test
     void aRequestThatComesInPiecesKeepsItsPlace() throws Exception {
         start(backend(OK));
