The module answers what it would shed now, a question that changes nothing

Need: where more exchanges come than can be decided in time, the door must answer by the module's word, not by one of its own. Balancer.word gives, for a grade, the contract time below which it would shed on arrival, and the retry-after. Measured: two runs of the same 200 events, one asked before each, give the same forwards, probes and wake times.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -34,8 +34,7 @@
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
-        double wait = selection.expectedWait(x, now);
-        double limit = (LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank)) * (x.contract - now);
+        double wait = selection.expectedWait(x, now), limit = share(rank) * (x.contract - now);
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
@@ -44,4 +43,14 @@
             super.offer(x, now, turn);
         }
     }
+
+    private static double share(double rank) {
+        return LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank);
+    }
+
+    /** What it would shed of a grade now, without asking or drawing anybody; changes nothing. */
+    Word word(int grade, double now) {
+        double wait = selection.leastWait(new Exchange(0, grade, 0, now, 0), now);
+        return new Word(wait / share(benefit[grade] / mostBenefit), Math.min(wait, estimate.window));
+    }
 }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -14,6 +14,7 @@
     private final Fleet fleet;
     private final Estimate estimate;
     private final Expiry expiry;
+    private final Admission admission;
     private final Eligibility eligibility;
     private final Selection selection;
     private final Lists lists;
@@ -26,7 +27,8 @@
         eligibility = new Eligibility(settings, fleet, estimate, chance);
         selection = new Selection(settings, fleet, estimate, chance);
         lists = new Lists(settings, chance);
-        expiry.then(new Admission(settings, estimate, selection)).then(new Repeats(settings, fleet))
+        admission = new Admission(settings, estimate, selection);
+        expiry.then(admission).then(new Repeats(settings, fleet))
                 .then(eligibility).then(selection);
     }
 
@@ -65,6 +67,11 @@
         return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, now));
     }
 
+    /** A question that changes nothing: what would be shed of a service grade on arrival now. */
+    public Word word(double now, int grade) {
+        return admission.word(grade, now).upTo(expiry.longestRetryAfter);
+    }
+
     public Turn clientLeft(double now, Exchange x) {
         return turn(now, () -> expiry.clientLeft(x, turn));
     }
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -12,7 +12,7 @@
     private final ServiceGrade[] grades;
     private final double[] longest, since;
     private final boolean mayCancel;
-    private final double longestRetryAfter;
+    final double longestRetryAfter;
     private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
 
     Expiry(Settings s) {
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -130,6 +130,15 @@
         return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
+    /**
+     * The least wait to expect in the part as it stands; infinite where none may take the exchange. Danger:
+     * who asks is behind with its work, and probes whose answers it has not read yet make nobody silent.
+     */
+    double leastWait(Exchange x, double now) {
+        return Arrays.stream(fleet.order).limit(part(now)).filter(i -> super.mayTake(x, i, now))
+                .mapToDouble(i -> estimate.wait(i, now)).min().orElse(Double.POSITIVE_INFINITY);
+    }
+
     @Override
     void offer(Exchange x, double now, Turn turn) {
         x.latest = new Forward(x, x.best, now, x.contract - now, Math.max(0, estimate.of(x.best, now) - 1));
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -282,6 +282,36 @@
         assertNotNull(w.arrive(PURE), "shedding can't lock itself in");
     }
 
+    @Test
+    void theWordIsWhatWouldBeShedAndAskingChangesNothing() {
+        World w = World.of(2);
+        assertEquals(0, w.balancer.word(w.now, PURE).leastLeft(), "nothing is shed of an idle fleet");
+        w.loads.put(0, new double[] {1, 9});
+        w.loads.put(1, new double[] {1, 9});
+        assertNull(w.arrive(PURE));
+        Word word = w.balancer.word(w.now, PURE);
+        assertTrue(word.leastLeft() > 1, "not with a whole contract time");
+        assertEquals(w.answers.get(0).retryAfter(), word.retryAfter(), 1e-9);
+        assertTrue(w.balancer.word(w.now, ONCE).leastLeft() < word.leastLeft(),
+                "the least benefit goes first");
+        w.list(true, false, List.of());
+        assertEquals(Double.POSITIVE_INFINITY, w.balancer.word(w.now, ONCE).leastLeft());
+        World asked = World.of(20), other = World.of(20);
+        for (int k = 0; k < 200; k++) {
+            asked.balancer.word(asked.now, k % 4);
+            Forward f = asked.arrive(k % 4), same = other.arrive(k % 4);
+            assertEquals(f == null ? -1 : f.backend, same == null ? -1 : same.backend);
+            for (World each : List.of(asked, other)) {
+                if (k % 3 == 0 && f != null) {
+                    each.end(each == asked ? f : same, Outcome.DELIVERED, k % 10 / 10.0, 0);
+                }
+                each.wakeUntil(each.now + 0.013);
+            }
+            assertEquals(asked.wakeAt, other.wakeAt);
+        }
+        assertEquals(asked.probes, other.probes);
+    }
+
     @Test
     void whereAllTurnSlowOnlyTheIdleAreUsed() {
         World w = World.of(1);
