--- /dev/null
+++ b/src/main/java/lemondrift/door/Door.java
@@ -0,0 +1,429 @@
+package lemondrift.door;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Decides about clients' connections: which are accepted, how long each may take for what it is doing, which
+ * are kept when they are answered, and which give way in a crowd. The adapter tells it what happens on each,
+ * with the time, and carries out what it says; it knows no sockets. A connection is an index until it is
+ * gone.
+ */
+public final class Door {
+    /** What the door has done to the sockets. */
+    public interface Hands {
+        /** Whether nothing unread waits on a connection; looks at the socket. */
+        boolean isSilent(int i);
+
+        /** Closes a connection at once; gone is told before this returns. */
+        void close(int i, Reason why);
+    }
+
+    /** Answers to a connection by which its reuse is learned apart: one, two or three, more. */
+    private static final int KINDS = 3;
+    /** The share kept whatever is thought of them. Danger: who never sees one used again can't learn. */
+    private static final double EXPLORED = 1.0 / 16;
+    /** How steeply a place's price rises with the places that stand unused; beyond this, none explores. */
+    private static final int STEEP = 4;
+    private static final double MOST_EXPLORING = 2;
+    /** Lateness of the sweep, in sweeps, from which the process is taken to have stood still. */
+    private static final double PAUSE = 2;
+    /** How often a request in a row may be turned away before the connection closes with the answer. */
+    private static final int TURNED_AWAY = 6;
+    /** Indexes beyond the last place: so many, and one for each so many places. */
+    private static final int SLACK = 16;
+    /** What an exchange shed or scrapped counts beside a delivered one: its client is not at fault. */
+    private static final double UNSERVED = 0.25;
+
+    private final Bounds bounds;
+    private final Hands hands;
+    private final SplittableRandom chance;
+    private final Sources sources;
+    private final Crowd crowd;
+    private final Reuse[] reuse = new Reuse[KINDS];
+    private final double[] limit = new double[KINDS];
+    private final Map<State, Order> orders = new EnumMap<>(State.class);
+
+    private final State[] state;
+    private final Source[] source;
+    private final long[] key;
+    private final Reason[] ending;
+    private final boolean[] promised, ahead;
+    private final int[] answers, turnedAway;
+    /** When it came, when it came into its state, and until when it may stay so without progress. */
+    private final double[] came, since, due, drainAt;
+    private final long[][] closed = new long[State.values().length][Reason.values().length];
+
+    private int used;
+    /**
+     * When something was told last, and the time for which the process stood still, which counts for nobody.
+     */
+    private double toldAt = Double.NEGATIVE_INFINITY, stoodStill;
+    private double drainBegan = Double.POSITIVE_INFINITY;
+
+    /** The seed decides which connections are kept to learn from. */
+    public Door(Bounds bounds, Hands hands, long seed) {
+        this.bounds = bounds;
+        this.hands = hands;
+        chance = new SplittableRandom(seed);
+        // Danger: the system may count one as closed before it is told here, and its successor needs an
+        // index.
+        int last = bounds.last() + SLACK + bounds.last() / SLACK;
+        sources = new Sources(last);
+        crowd = new Crowd(last, bounds.memory());
+        Arrays.setAll(reuse, kind -> new Reuse(bounds.quiet(), bounds.earliest(), bounds.memory()));
+        Arrays.fill(limit, bounds.quiet());
+        state = new State[last];
+        source = new Source[last];
+        key = new long[last];
+        ending = new Reason[last];
+        promised = new boolean[last];
+        ahead = new boolean[last];
+        answers = new int[last];
+        turnedAway = new int[last];
+        came = new double[last];
+        since = new double[last];
+        due = new double[last];
+        drainAt = new double[last];
+        int[] next = Order.links(last), previous = Order.links(last);
+        for (State each : State.values()) {
+            orders.put(each, new Order(next, previous));
+        }
+        Arrays.fill(state, State.FREE);
+        for (int i = 0; i < last; i++) {
+            orders.get(State.FREE).add(i);
+        }
+    }
+
+    /** Danger: after a pause of the process all would seem overdue while their requests wait unread. */
+    private double time(double now) {
+        if (now - toldAt > PAUSE * bounds.sweep() && toldAt > Double.NEGATIVE_INFINITY) {
+            stoodStill += now - toldAt - bounds.sweep();
+        }
+        toldAt = Math.max(toldAt, now);
+        return toldAt - stoodStill;
+    }
+
+    private void enter(int i, State to, double t) {
+        orders.get(state[i]).remove(i);
+        orders.get(to).add(i);
+        state[i] = to;
+        since[i] = t;
+    }
+
+    /**
+     * A connection was accepted.
+     *
+     * @param address what tells its client's address from others
+     * @return its index, or -1 if there is no place and it must be closed
+     */
+    public int came(long address, double now) {
+        double t = time(now);
+        int i = orders.get(State.FREE).first();
+        if (i < 0) {
+            return -1;
+        }
+        used++;
+        key[i] = address;
+        source[i] = bounds.sharing() == Bounds.Sharing.CONNECTION ? new Source() : sources.enter(address);
+        if (bounds.sharing() == Bounds.Sharing.CONNECTION) {
+            source[i].held++;
+        }
+        ending[i] = Reason.GONE;
+        promised[i] = false;
+        ahead[i] = false;
+        drainAt[i] = Double.POSITIVE_INFINITY;
+        answers[i] = 0;
+        turnedAway[i] = 0;
+        came[i] = t;
+        due[i] = t + bounds.firstWord();
+        enter(i, State.NEW, t);
+        return i;
+    }
+
+    /** Indexes are from 0 to under this. */
+    public int indexes() {
+        return state.length;
+    }
+
+    /** Whether there are more than there should be, so that some must give way. */
+    public boolean isCrowded() {
+        return used > bounds.places();
+    }
+
+    /** So many bytes came on a connection, 1 or more. */
+    public void heard(int i, int bytes, double now) {
+        double t = time(now);
+        if (state[i] == State.NEW || state[i] == State.QUIET) {
+            if (state[i] == State.QUIET) {
+                reuse[kind(i)].usedAfter(t - since[i], t);
+            }
+            due[i] = t + bounds.window();
+            enter(i, State.HEAD, t);
+        } else if (state[i] == State.HEAD || state[i] == State.BODY) {
+            progress(i, bytes, t);
+        } else {
+            ahead[i] = true;
+        }
+    }
+
+    private void progress(int i, int bytes, double t) {
+        due[i] = Math.min(t + bounds.window(), due[i] + bytes / bounds.leastRate());
+    }
+
+    /** The head of a request was read; it may have come with the answer to the one before, in one piece. */
+    public void headRead(int i, double now) {
+        double t = time(now);
+        if (state[i] == State.QUIET) {
+            reuse[kind(i)].usedAfter(t - since[i], t);
+        }
+        ahead[i] = false;
+        due[i] = t + bounds.window();
+        enter(i, State.BODY, t);
+    }
+
+    /** An exchange is open on a connection, of a tenant given as a number that is not negative. */
+    public void opened(int i, int tenant, double now) {
+        double t = time(now);
+        turnedAway[i] = 0;
+        if (bounds.sharing() == Bounds.Sharing.TENANT && key[i] != -1L - tenant) {
+            sources.leave(key[i], source[i]);
+            key[i] = -1L - tenant;
+            source[i] = sources.enter(key[i]);
+        }
+        enter(i, State.OPEN, t);
+    }
+
+    /**
+     * An answer is ready for a connection: whether the connection stays open after it. Closing with the
+     * answer loses nothing, where a close between requests can cross one.
+     */
+    public boolean keeps(int i, double now) {
+        double t = time(now);
+        answers[i]++;
+        due[i] = t + bounds.window();
+        enter(i, State.FETCHING, t);
+        ending[i] = ending(i, t);
+        promised[i] = ending[i] == Reason.GONE && bounds.announces() && price() < 1 / bounds.quiet();
+        return ending[i] == Reason.GONE;
+    }
+
+    private Reason ending(int i, double t) {
+        if (t >= drainBegan) {
+            return Reason.DRAIN;
+        } else if (turnedAway[i] >= TURNED_AWAY) {
+            return Reason.TURNED_AWAY;
+        }
+        boolean worth = reuse[kind(i)].limit(price(), t) > 0;
+        boolean explores = unusedShare() < MOST_EXPLORING && chance.nextDouble() < EXPLORED;
+        return worth || explores ? Reason.GONE : Reason.WITH_ANSWER;
+    }
+
+    /**
+     * How many whole seconds its client may be told that the connection stays, 0 where nothing is promised.
+     */
+    public int promise(int i) {
+        return promised[i] ? (int) bounds.quiet() : 0;
+    }
+
+    private int kind(int i) {
+        return answers[i] < 2 ? 0 : answers[i] < 4 ? 1 : 2;
+    }
+
+    /** Places that stand unused, as a ratio to how many may before they have their full price. */
+    private double unusedShare() {
+        int busy = orders.get(State.OPEN).size() + orders.get(State.FETCHING).size();
+        return (used - busy) / (Bounds.UNUSED * bounds.places());
+    }
+
+    /** What a place costs for a second, in connections opened again: nothing while most of them are free. */
+    private double price() {
+        return Math.pow(unusedShare(), STEEP) / bounds.quiet();
+    }
+
+    /** So many bytes of an answer were taken by a connection. */
+    public void fetched(int i, int bytes, double now) {
+        double t = time(now);
+        if (state[i] == State.FETCHING) {
+            progress(i, bytes, t);
+        }
+    }
+
+    /**
+     * The answer is out whole.
+     *
+     * @param benefit what it brought, 0 where it was shed or scrapped, below 0 where there was no exchange
+     */
+    public void answered(int i, double benefit, double now) {
+        double t = time(now);
+        if (benefit >= 0) {
+            double brought = benefit > 0 ? benefit / bounds.benefit() : UNSERVED;
+            source[i].brought(brought, t, bounds.memory());
+        }
+        // What came ahead of the answer is the next request's beginning, unless its head is read right away.
+        due[i] = t + bounds.window();
+        enter(i, ahead[i] ? State.HEAD : State.QUIET, t);
+    }
+
+    /** A request is to be turned away; keeps is asked next, as with any answer. */
+    public void turnedAway(int i, double now) {
+        turnedAway[i]++;
+        source[i].cost(time(now), bounds.memory());
+    }
+
+    /**
+     * The answer that turned a request away is out: for how many seconds the connection is not read. Danger:
+     * clients that send the same again as soon as it is turned away would take all of the processor.
+     */
+    public double lingers(int i, double now) {
+        double t = time(now);
+        enter(i, State.TURNED_AWAY, t);
+        double costs = Math.max(turnedAway[i], source[i].costs(t, bounds.memory()));
+        return Math.min(bounds.window(), bounds.linger() * Math.scalb(1.0, (int) Math.max(0, costs - 1)));
+    }
+
+    /** A connection is closed, by whichever side; its index goes to another one. */
+    public void gone(int i, double now) {
+        double t = time(now);
+        if (state[i] == State.FREE) {
+            return;
+        }
+        if (state[i] == State.QUIET && ending[i] != Reason.WITH_ANSWER && ending[i] != Reason.DRAIN) {
+            reuse[kind(i)].endedAfter(t - since[i], t);
+        }
+        if (answers[i] == 0 && state[i] != State.OPEN) {
+            source[i].cost(t, bounds.memory());
+        }
+        closed[state[i].ordinal()][ending[i].ordinal()]++;
+        if (bounds.sharing() != Bounds.Sharing.CONNECTION) {
+            sources.leave(key[i], source[i]);
+        }
+        source[i] = null;
+        used--;
+        enter(i, State.FREE, t);
+    }
+
+    private void close(int i, Reason why) {
+        ending[i] = why;
+        hands.close(i, why);
+    }
+
+    /** To be called while there is a crowd, once for all that came at a time. */
+    public void makeRoom(double now) {
+        double t = time(now);
+        if (!isCrowded()) {
+            return;
+        }
+        for (int i = orders.get(State.NEW).first(); i >= 0; i = orders.get(State.NEW).after(i)) {
+            if (t - came[i] > bounds.patience()) {
+                crowd.mayYield(i, source[i]);
+            }
+        }
+        // Danger: heads without end would keep all others out. None was answered here: nothing is lost.
+        for (State each : new State[] {State.HEAD, State.BODY}) {
+            for (int i = orders.get(each).first(); i >= 0; i = orders.get(each).after(i)) {
+                if (answers[i] == 0 && t - came[i] > 2 * bounds.patience()) {
+                    crowd.mayYield(i, source[i]);
+                }
+            }
+        }
+        for (int i = orders.get(State.QUIET).first(); i >= 0; i = orders.get(State.QUIET).after(i)) {
+            if (!promised[i]) {
+                crowd.mayYield(i, source[i]);
+            }
+        }
+        crowd.yield(used - bounds.places(), t, i -> {
+            // Danger: a request that has come and waits unread, after a pause of the process, would be lost.
+            boolean silent = answers[i] == 0 && state[i] != State.NEW || hands.isSilent(i);
+            if (silent) {
+                close(i, Reason.CROWD);
+            }
+            return silent;
+        });
+    }
+
+    /** Ends what has taken too long; to be called every Bounds.sweep() seconds at the least. */
+    public void sweep(double now) {
+        double t = time(now);
+        makeRoom(now);
+        for (int kind = 0; kind < KINDS; kind++) {
+            limit[kind] = Math.max(bounds.earliest(), reuse[kind].limit(price(), t));
+        }
+        for (int i = 0; i < state.length; i++) {
+            Reason why = overdue(i, t);
+            if (why != null && (state[i] != State.NEW && state[i] != State.QUIET || hands.isSilent(i))) {
+                close(i, why);
+            }
+        }
+    }
+
+    /**
+     * Why a connection is to be closed now, null if it may stay. Danger: one without end holds its buffers.
+     */
+    private Reason overdue(int i, double t) {
+        return switch (state[i]) {
+            case NEW -> t > due[i] ? Reason.NO_WORD : drains(i, t);
+            case HEAD, BODY -> t > due[i] ? Reason.SLOW : null;
+            case FETCHING -> t > due[i] ? Reason.UNFETCHED : null;
+            case QUIET -> {
+                double quiet = t - since[i];
+                yield quiet > bounds.quiet() ? Reason.QUIET
+                        : quiet > limit[kind(i)] && !promised[i] ? Reason.UNUSED : drains(i, t);
+            }
+            case FREE, OPEN, TURNED_AWAY -> null;
+        };
+    }
+
+    private Reason drains(int i, double t) {
+        return t >= drainAt[i] ? Reason.DRAIN : null;
+    }
+
+    /**
+     * Every answer closes its connection from now on, and those without a word go one by one until a time.
+     * Danger: all closed in one instant would fall on the siblings as a herd.
+     */
+    public void drain(double now, double until) {
+        drainBegan = time(now);
+        int count = in(State.NEW) + in(State.QUIET), rank = 0;
+        for (State each : new State[] {State.QUIET, State.NEW}) {
+            for (int i = orders.get(each).first(); i >= 0; i = orders.get(each).after(i)) {
+                drainAt[i] = drainBegan + (until - now) * rank++ / count;
+            }
+        }
+    }
+
+    /** How many connections are in a state. */
+    public int in(State each) {
+        return orders.get(each).size();
+    }
+
+    /** How many have ended for a reason, in whatever state. */
+    public long ended(Reason why) {
+        return Arrays.stream(closed).mapToLong(each -> each[why.ordinal()]).sum();
+    }
+
+    State state(int i) {
+        return state[i];
+    }
+
+    int remembered() {
+        return sources.remembered();
+    }
+
+    /** What there is by state and what ended by reason, as key and value pairs for a line of the log. */
+    public String told() {
+        StringBuilder text = new StringBuilder();
+        for (State each : State.values()) {
+            text.append(each.name().toLowerCase(Locale.ROOT)).append('=').append(in(each))
+                    .append(' ');
+        }
+        for (Reason why : Reason.values()) {
+            text.append("ended_").append(why.name().toLowerCase(Locale.ROOT)).append('=')
+                    .append(ended(why)).append(' ');
+        }
+        return text.toString().trim();
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/door/Sources.java
@@ -0,0 +1,44 @@
+package lemondrift.door;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Sources by their key. Those that hold places are as many as places at the most; of the others as many are
+ * remembered, and the one gone longest is forgotten first. Danger: a table of all addresses has no bound.
+ */
+final class Sources {
+    private final Map<Long, Source> present = new HashMap<>();
+    private final Map<Long, Source> gone = new LinkedHashMap<>();
+    private final int most;
+
+    Sources(int most) {
+        this.most = most;
+    }
+
+    /** The source of a key, with one place more. */
+    Source enter(long key) {
+        Source source = present.get(key);
+        if (source == null) {
+            source = gone.remove(key);
+            source = source == null ? new Source() : source;
+            present.put(key, source);
+        }
+        source.held++;
+        return source;
+    }
+
+    void leave(long key, Source source) {
+        if (--source.held == 0 && present.remove(key) != null) {
+            gone.put(key, source);
+            if (gone.size() > most) {
+                gone.remove(gone.keySet().iterator().next());
+            }
+        }
+    }
+
+    int remembered() {
+        return present.size() + gone.size();
+    }
+}
