Serve through the door's core; answers wait no longer for what was sent ahead of them

Visitors is now hands alone: it tells the core what happens on the sockets and closes what it says. Found by a test: Undertow's buffer for pipelined answers (BUFFER_PIPELINED_DATA) held an answer back until the request sent ahead of it was whole; with half of one it was never sent. It is off now. Descriptors that run out: XNIO backs off (0.25 to 4 s), no spin, the next client served after that; a class first needed then can't be loaded from a folder, from a jar it can.

--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -5,11 +5,15 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import lemondrift.door.Bounds;
 import lemondrift.model.Settings;
 import lemondrift.settings.BadInput;
 import lemondrift.settings.SettingsReader;
@@ -17,15 +21,37 @@
 /** What one proxy is told at start: the decisions' settings, the names at its door, and its own addresses. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
-        List<String> reportNames, double idle, double connectTimeout, JsonObject known) {
+        List<String> reportNames, double idle, double connectTimeout, JsonObject known,
+        Bounds door) {
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
     private static final int OTHERS = 40;
 
     /** How many connections the proxy may hold. */
     int connections() {
+        return connections(sockets);
+    }
+
+    private static int connections(int sockets) {
         return Math.max(OTHERS, sockets - OTHERS);
     }
 
+    /** The same with another door. */
+    Config with(Bounds other) {
+        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
+                locations,
+                reportNames, idle, connectTimeout, known, other);
+    }
+
+    /** What the files named in an environment say: PROXY_CONFIG, and PROXY_DOOR where there is one. */
+    static Config read(Map<String, String> environment) throws IOException {
+        if (environment.get("PROXY_CONFIG") == null) {
+            throw new BadInput("PROXY_CONFIG is not set");
+        }
+        Config config = read(Files.readString(Path.of(environment.get("PROXY_CONFIG"))));
+        String door = environment.get("PROXY_DOOR");
+        return door == null ? config : config.with(DoorFile.read(Path.of(door), config.door));
+    }
+
     static Config read(String json) {
         try {
             return read(JsonParser.parseString(json).getAsJsonObject());
@@ -41,12 +67,15 @@
         Map<String, String> inner = new HashMap<>();
         flatten("", json.has("settings") ? json.get("settings") : new JsonObject(), inner);
         SettingsReader reader = new SettingsReader(inner);
+        int sockets = (int) all.number("limits.sockets", 1024);
+        Settings settings = reader.settings();
         return new Config(all.text("name", "proxy"), address("listen", all.text("listen", null)),
                 address("discovery", all.text("discovery", null)), seed(all.text("seed", "0")),
-                (int) all.number("limits.sockets", 1024), reader.settings(), names(inner, "serviceGrades"),
+                sockets, settings, names(inner, "serviceGrades"),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
-                reader.number("limits.connectTimeout", 250) / 1000, known(json));
+                reader.number("limits.connectTimeout", 250) / 1000, known(json),
+                DoorFile.usual(connections(sockets), settings));
     }
 
     /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -22,9 +22,13 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lemondrift.door.Intake;
 import lemondrift.model.Exchange;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Word;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -38,15 +42,13 @@
 final class Front {
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
+    private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
     private static final HttpString TENANT = new HttpString("X-Customer");
-    /** The share of the proxy's connections that clients may have, and where no more are accepted. */
-    private static final double SHARE = 0.6, LAST = 0.66;
     /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
-    /** Milliseconds for which an answer to what is no exchange may be fetched, and no more is read. */
-    private static final int LINGER = 200;
-    /** On a connection whose end is listened for. */
-    private static final AttachmentKey<Visitors.Visitor> HEARD = AttachmentKey.create(Visitors.Visitor.class);
+    /** The connection that a request came on. */
+    private static final AttachmentKey<Visitors.Visitor> VISITOR
+            = AttachmentKey.create(Visitors.Visitor.class);
 
     private final Config config;
     private final Clock clock;
@@ -54,6 +56,8 @@
     private final XnioWorker worker;
     private final HttpOpenListener http;
     private final Visitors visitors;
+    private final Intake<Taken> intake;
+    private final double[] contractTime, benefit;
     private AcceptingChannel<StreamConnection> server;
     private long taken;
     private volatile boolean draining, busy;
@@ -64,9 +68,12 @@
         this.clock = clock;
         this.owner = owner;
         this.worker = worker;
-        visitors = new Visitors(clock, worker.getIoThread(), (int) (SHARE * config.connections()));
+        contractTime = config.settings().grades().stream().mapToDouble(ServiceGrade::contractTime).toArray();
+        benefit = config.settings().grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
+        intake = new Intake<>(Arrays.stream(contractTime).min().orElse(1));
+        visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), this::left);
+        // Danger: with Undertow's buffer for pipelined answers one would wait for the next request's end.
         http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                 .set(UndertowOptions.MAX_HEADER_SIZE, Fields.MOST).set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
@@ -75,28 +82,29 @@
     void listen() throws IOException {
         // Danger: XNIO accepts again only when one closes at the low mark or under it, so with a lower
         // low mark places that are freed one by one would never be filled.
-        int last = (int) (LAST * config.connections());
+        int last = config.door().last();
         server = worker.createStreamConnectionServer(config.listen(),
                 ChannelListeners.openListenerAdapter(this::accepted), OptionMap.builder()
                         .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, config.sockets())
-                        .set(Options.CONNECTION_HIGH_WATER, last)
+                        .set(Options.BACKLOG, config.sockets()).set(Options.CONNECTION_HIGH_WATER, last)
                         .set(Options.CONNECTION_LOW_WATER, last).getMap());
         server.resumeAccepts();
     }
 
     void accepted(StreamConnection connection) {
-        visitors.came(connection);
-        http.handleEvent(connection);
+        visitors.came(connection, http);
     }
 
     InetSocketAddress address() {
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** From now on every answer closes its connection; new ones are still taken. */
-    void drain() {
+    /**
+     * From now on every answer closes its connection, those without a word go by then; new ones are taken.
+     */
+    void drain(double until) {
         draining = true;
+        worker.getIoThread().execute(() -> visitors.drain(until));
     }
 
     boolean isQuietSince(double time) {
@@ -104,11 +112,19 @@
     }
 
     void close() {
-        visitors.stop();
+        worker.getIoThread().execute(visitors::stop);
         IoUtils.safeClose(server);
     }
 
     private void handle(HttpServerExchange client) {
+        Visitors.Visitor visitor = visitors.of(channel(client));
+        visitor.headRead();
+        client.putAttachment(VISITOR, visitor);
+        client.addExchangeCompleteListener((done, next) -> {
+            visitor.answered();
+            busy = visitors.open() > 0;
+            next.proceed();
+        });
         if (client.getRequestPath().equals("/healthz") && !client.getRequestHeaders().contains(TRACE)) {
             end(client, draining ? 503 : Answer.OK);
             return;
@@ -161,24 +177,24 @@
             if (done.isRequestComplete()) {
                 done.endExchange();
             } else {
-                later(() -> IoUtils.safeClose(channel(done)));
+                later(done, () -> IoUtils.safeClose(channel(done)));
             }
         });
     }
 
-    /**
-     * Answers at once what can be read but not used, and reads no more on its connection for a while. Danger:
-     * clients that send the same again as soon as it is turned away would take all of the processor.
-     */
+    /** Answers at once what can be read but not used, and reads no more on its connection for a while. */
     private void turnAway(HttpServerExchange client) {
-        refuse(client, 400, done -> later(done::endExchange));
+        refuse(client, 400, done -> later(done, done::endExchange));
     }
 
-    private void later(Runnable task) {
-        worker.getIoThread().executeAfter(task, LINGER, TimeUnit.MILLISECONDS);
+    /** Does it when the door says that the connection has lingered. */
+    private void later(HttpServerExchange client, Runnable task) {
+        double seconds = client.getAttachment(VISITOR).lingers();
+        worker.getIoThread().executeAfter(task, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
     private void refuse(HttpServerExchange client, int status, Consumer<HttpServerExchange> then) {
+        client.getAttachment(VISITOR).turnedAway();
         answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII),
                 new IoCallback() {
                     @Override
@@ -200,25 +216,41 @@
     private void received(HttpServerExchange client, byte[] body) {
         client.dispatch(SameThreadExecutor.INSTANCE, () -> {
             Exchange x = exchange(client.getRequestHeaders());
-            Visitors.Visitor visitor = visitors.of(channel(client));
-            if (x == null || visitor == null || !visitor.began(only(client.getRequestHeaders(), TRACE), x)) {
+            Visitors.Visitor visitor = client.getAttachment(VISITOR);
+            if (x == null || !visitor.began(only(client.getRequestHeaders(), TRACE), x)) {
                 turnAway(client);
                 return;
             }
             busy = true;
-            if (client.getConnection().getAttachment(HEARD) == null) {
-                client.getConnection().putAttachment(HEARD, visitor);
-                client.getConnection().addCloseListener(closed -> ended(visitor, true));
-            }
-            client.addExchangeCompleteListener((done, next) -> {
-                ended(visitor, false);
-                next.proceed();
-            });
             watchForClose((AbstractServerConnection) client.getConnection());
-            owner.arrived(new Taken(x, client, body));
+            offer(new Taken(x, client, body));
         });
     }
 
+    /** Hands it to the decisions. Where they can't take it in time it waits, or is answered by their word. */
+    private void offer(Taken taken) {
+        Exchange x = taken.exchange();
+        double end = x.arrived + Math.min(x.expiry - x.arrived, contractTime[x.grade]);
+        if (intake.takes()) {
+            owner.arrived(taken);
+            return;
+        }
+        Word shed = intake.isLong() ? owner.shed(x.grade, end - clock.now()) : null;
+        if (shed == null) {
+            intake.waits(taken, end);
+        } else {
+            giveUp(taken.client(), true, shed.retryAfter());
+        }
+    }
+
+    /** The decisions have room for more. */
+    void decided(int exchanges, double seconds) {
+        intake.decided(exchanges, seconds);
+        for (Taken next = intake.next(); next != null; next = intake.next()) {
+            owner.arrived(next);
+        }
+    }
+
     /** Null where a field is missing, malformed or there twice. */
     private Exchange exchange(HeaderMap headers) {
         int grade = config.gradeNames().indexOf(only(headers, GRADE));
@@ -236,16 +268,10 @@
         return headers.count(field) == 1 ? headers.getFirst(field) : "";
     }
 
-    /** Answered, or the client has gone; whichever comes first. */
-    private void ended(Visitors.Visitor visitor, boolean gone) {
-        Exchange x = visitor.exchange;
-        if (x != null) {
-            visitor.answered();
-            busy = visitors.open() > 0;
-            if (gone) {
-                owner.left(x);
-            }
-        }
+    /** A client has gone whose exchange is open. */
+    private void left(Exchange x) {
+        busy = visitors.open() > 0;
+        owner.left(x);
     }
 
     /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
@@ -278,7 +304,9 @@
     }
 
     /** Passes a backend's answer on. */
-    void deliver(HttpServerExchange client, Answer answer) {
+    void deliver(Taken taken, Answer answer) {
+        HttpServerExchange client = taken.client();
+        client.getAttachment(VISITOR).brings(benefit[taken.exchange().grade]);
         Backends.copy(answer.headers(), client.getResponseHeaders());
         answer(client, Answer.OK, answer.body(), IoCallback.END_EXCHANGE);
     }
@@ -300,8 +328,11 @@
         if (client.isResponseStarted() || client.isComplete()) {
             return;
         }
-        if (draining || visitors.isCrowded()) {
+        Visitors.Visitor visitor = client.getAttachment(VISITOR);
+        if (!visitor.keeps() || draining) {
             client.setPersistent(false);
+        } else if (visitor.promise() > 0) {
+            client.getResponseHeaders().put(KEEP_ALIVE, "timeout=" + visitor.promise());
         }
         client.setStatusCode(status);
         client.setResponseContentLength(body.length);
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -22,6 +22,9 @@
     /** A backend is no longer ready or has another address: what stands idle there is closed. */
     void letGo(int backend);
 
+    /** So many exchanges that had arrived were decided, in so many seconds for all that was done. */
+    void decided(int exchanges, double seconds);
+
     /** All that was asked for since the last time is to be done now. */
     void act();
 }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -8,12 +8,14 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import lemondrift.decide.Balancer;
 import lemondrift.model.Exchange;
 import lemondrift.model.Forward;
 import lemondrift.model.Listed;
 import lemondrift.model.Outcome;
 import lemondrift.model.Turn;
+import lemondrift.model.Word;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,8 +38,13 @@
     private final Map<Exchange, Taken> open = new HashMap<>();
     private final Thread thread = new Thread(this::run, "owner");
     private double wakeAt = Double.POSITIVE_INFINITY;
+    private int arrived;
+    /** What the decisions would shed of each grade, as of the last time that the queue was long. */
+    private volatile List<Word> words = List.of();
+    private final int grades;
 
-    Owner(Balancer balancer, Directory directory, Clock clock, Hands hands) {
+    Owner(Balancer balancer, Directory directory, Clock clock, Hands hands, int grades) {
+        this.grades = grades;
         this.balancer = balancer;
         this.directory = directory;
         this.clock = clock;
@@ -61,11 +68,20 @@
 
     void arrived(Taken taken) {
         put(taken.exchange(), () -> {
+            arrived++;
             open.put(taken.exchange(), taken);
             return balancer.exchangeArrived(clock.now(), taken.exchange());
         });
     }
 
+    /**
+     * Whether the decisions would shed an exchange now; null if not, else with what retry-after. Any thread.
+     */
+    Word shed(int grade, double left) {
+        Word word = grade < words.size() ? words.get(grade) : null;
+        return word != null && left < word.leastLeft() ? word : null;
+    }
+
     /** The answer is the one to pass on if this forward delivers. */
     void ended(Forward f, Outcome outcome, double took, double[] report, Answer answer) {
         put(f.exchange, () -> {
@@ -118,13 +134,22 @@
                 double wait = Math.min(LONGEST_WAIT, wakeAt - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
-                for (int i = 0; event != null; i++) {
+                double began = clock.now();
+                int handled = 0;
+                for (; event != null; handled++) {
                     handle(event);
-                    event = i < AT_A_TIME ? queue.poll() : null;
+                    event = handled < AT_A_TIME ? queue.poll() : null;
+                }
+                if (handled > AT_A_TIME) {
+                    words = IntStream.range(0, grades).mapToObj(i -> balancer.word(clock.now(), i)).toList();
                 }
                 if (wakeAt <= clock.now()) {
                     handle(new Event(null, () -> balancer.wake(clock.now())));
                 }
+                if (arrived > 0) {
+                    hands.decided(arrived, clock.now() - began);
+                    arrived = 0;
+                }
                 hands.act();
             } catch (InterruptedException e) {
                 return;
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -54,7 +54,7 @@
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, MOST_BUFFERS, 8);
         longestExpiry = config.settings().grades().stream().mapToDouble(ServiceGrade::expiry).max().orElse(1);
         owner = new Owner(new Balancer(config.settings(), config.seed()), new Directory(config.locations()),
-                clock, new Sockets(io));
+                clock, new Sockets(io), config.settings().grades().size());
         front = new Front(config, clock, worker, buffers, owner);
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner);
@@ -95,10 +95,10 @@
 
     /** Takes clients as long as they come, answers all that was taken, and returns. */
     void drain() throws InterruptedException {
+        double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
+        front.drain(began + STRAGGLERS);
         phase = Phase.DRAINING;
         LOG.info("draining");
-        front.drain();
-        double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
         while (clock.now() < began + STRAGGLERS
                 || !front.isQuietSince(clock.now() - QUIET) && clock.now() < last) {
             Thread.sleep(10);
@@ -157,7 +157,7 @@
 
         @Override
         public void deliver(Taken taken, Answer answer) {
-            wishes.add(() -> front.deliver(taken.client(), answer));
+            wishes.add(() -> front.deliver(taken, answer));
         }
 
         @Override
@@ -170,6 +170,11 @@
             wishes.add(() -> backends.letGo(backend));
         }
 
+        @Override
+        public void decided(int exchanges, double seconds) {
+            wishes.add(() -> front.decided(exchanges, seconds));
+        }
+
         @Override
         public void act() {
             if (!wishes.isEmpty()) {
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -2,12 +2,9 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import lemondrift.settings.BadInput;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,11 +29,7 @@
         // XNIO offers its figures as management beans where it can; to set that up is a third of the start.
         System.setProperty("javax.management.builder.initial", "none");
         try {
-            String file = environment.get("PROXY_CONFIG");
-            if (file == null) {
-                throw new BadInput("PROXY_CONFIG is not set");
-            }
-            Config config = Config.read(Files.readString(Path.of(file)));
+            Config config = Config.read(environment);
             AtomicReference<Proxy> proxy = new AtomicReference<>();
             AtomicBoolean hungUp = new AtomicBoolean();
             if (serving) {
@@ -44,7 +37,7 @@
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy.get()), "drain"));
                 onHangUp(() -> {
                     hungUp.set(true);
-                    reload(proxy.get(), file);
+                    reload(proxy.get(), environment);
                 });
             }
             rehearse(config);
@@ -54,7 +47,7 @@
                 proxy.get().serve();
                 if (hungUp.get()) {
                     // The file may have been replaced after it was read for this start.
-                    reload(proxy.get(), file);
+                    reload(proxy.get(), environment);
                 }
             }
             return 0;
@@ -65,10 +58,10 @@
     }
 
     /** Danger: two hang-ups in a row have a thread each, and the older file must not be followed last. */
-    private static synchronized void reload(Proxy proxy, String file) {
+    private static synchronized void reload(Proxy proxy, Map<String, String> environment) {
         try {
             if (proxy != null) {
-                proxy.reload(Config.read(Files.readString(Path.of(file))));
+                proxy.reload(Config.read(environment));
             }
         } catch (IOException | RuntimeException e) {
             LOG.warn("new configuration not used, the old one stays: {}", e.toString().replace('\n', ' '));
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -1,51 +1,66 @@
 package lemondrift.serve;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
+import java.util.function.Consumer;
+import lemondrift.door.Bounds;
+import lemondrift.door.Door;
+import lemondrift.door.Reason;
+import lemondrift.door.State;
 import lemondrift.model.Exchange;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
+import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Clients' connections: how many there may be, and how long one may stay that has no exchange open. */
-final class Visitors {
-    /** Seconds that one may say nothing, take for a request, and take for its first one since it came. */
-    private static final double SILENT = 2.2, SPEAKING = 2.5, FIRST = 2.6;
-    private static final double SWEEP = 0.2;
-    /** The share of the places that may stand without an exchange before answers close their connections. */
-    private static final double UNUSED = 0.25;
-    /** Seconds that a new one has for its first word, and twice that for its first request, in a crowd. */
-    private static final double PATIENCE = 0.1;
+/**
+ * Clients' connections as sockets: tells the door what happens on them and does what it says. I/O thread
+ * only.
+ */
+final class Visitors implements Door.Hands {
+    private static final Logger LOG = LoggerFactory.getLogger(Visitors.class);
+    /** How often the door is looked after while it drains, for each time that it asks for. */
+    private static final int DRAINING_SWEEPS = 4;
+    /** Seconds between two lines of the log about a crowd. */
+    private static final double TELLS = 1;
 
     /** One connection. What it says is heard below Undertow, which tells of whole requests only. */
     final class Visitor {
         /** What is open on it, if anything, and under which id. */
         Exchange exchange;
-        String trace;
+        private String trace;
+        /** What the open exchange brought; below 0 where there was none. */
+        private double benefit = -1;
         private final StreamConnection connection;
+        private final int index;
         private final StreamSourceConduit below;
         /** What was read to see whether there is anything, until it is read in earnest. */
         private final ByteBuffer ahead = ByteBuffer.allocate(1);
-        private final double came = clock.now();
-        private double quietSince = came, spokeAt;
-        private boolean speaking, fresh = true;
+        private boolean gone;
 
-        private Visitor(StreamConnection connection) {
+        private Visitor(StreamConnection connection, int index) {
             this.connection = connection;
-            var source = connection.getSourceChannel();
-            below = source.getConduit();
-            source.setConduit(new AbstractStreamSourceConduit<StreamSourceConduit>(below) {
+            this.index = index;
+            below = connection.getSourceChannel().getConduit();
+        }
+
+        private StreamSourceConduit listening() {
+            return new AbstractStreamSourceConduit<StreamSourceConduit>(below) {
                 @Override
                 public int read(ByteBuffer to) throws IOException {
                     int had = ahead.flip().remaining();
@@ -54,32 +69,55 @@
                     }
                     ahead.compact();
                     int got = below.read(to);
-                    spoke(got);
+                    if (got > 0) {
+                        heard(got);
+                    }
                     return had > 0 ? had + Math.max(0, got) : got;
                 }
-            });
+            };
         }
 
-        private void spoke(int got) {
-            if (got > 0 && !speaking) {
-                speaking = true;
-                spokeAt = clock.now();
+        private StreamSinkConduit watching() {
+            return new AbstractStreamSinkConduit<StreamSinkConduit>(connection.getSinkChannel().getConduit())
+                    {
+                @Override
+                public int write(ByteBuffer from) throws IOException {
+                    return fetched(next.write(from));
+                }
+
+                @Override
+                public long write(ByteBuffer[] from, int offset, int length) throws IOException {
+                    return fetched((int) next.write(from, offset, length));
+                }
+
+                @Override
+                public int writeFinal(ByteBuffer from) throws IOException {
+                    return fetched(next.writeFinal(from));
+                }
+
+                @Override
+                public long writeFinal(ByteBuffer[] from, int offset, int length) throws IOException {
+                    return fetched((int) next.writeFinal(from, offset, length));
+                }
+            };
+        }
+
+        private void heard(int bytes) {
+            if (!gone) {
+                door.heard(index, bytes, clock.now());
             }
         }
 
-        /** Danger: a request that has come and waits unread, after a pause of the process, would be lost. */
-        private boolean isSilent() {
-            try {
-                if (!speaking && ahead.hasRemaining()) {
-                    spoke(below.read(ahead));
-                    if (speaking) {
-                        connection.getSourceChannel().wakeupReads();
-                    }
-                }
-                return !speaking;
-            } catch (IOException e) {
-                return true;
+        private int fetched(int bytes) {
+            if (!gone && bytes > 0) {
+                door.fetched(index, bytes, clock.now());
             }
+            return bytes;
+        }
+
+        void headRead() {
+            benefit = -1;
+            door.headRead(index, clock.now());
         }
 
         /** False where another exchange of this id is open. */
@@ -90,41 +128,93 @@
             }
             trace = id;
             exchange = x;
-            quiet.remove(this);
+            benefit = 0;
+            door.opened(index, x.tenant, clock.now());
             return true;
         }
 
-        /** It has no exchange open from now on. */
+        void brings(double delivered) {
+            benefit = delivered;
+        }
+
+        /** An answer is ready: whether the connection stays open after it. */
+        boolean keeps() {
+            return !gone && door.keeps(index, clock.now());
+        }
+
+        /** How many whole seconds it is promised to stay; 0 is no promise. */
+        int promise() {
+            return door.promise(index);
+        }
+
+        void turnedAway() {
+            door.turnedAway(index, clock.now());
+        }
+
+        /** For how many seconds it is not read, its request having been turned away. */
+        double lingers() {
+            return gone ? 0 : door.lingers(index, clock.now());
+        }
+
+        /** Its answer is out, and it has no exchange open from now on. */
         void answered() {
+            if (!gone) {
+                door.answered(index, benefit, clock.now());
+            }
+            ended();
+        }
+
+        private Exchange ended() {
+            Exchange x = exchange;
             traces.remove(trace);
             exchange = null;
-            fresh = false;
-            speaking = false;
-            quietSince = clock.now();
-            if (connection.isOpen()) {
-                quiet.add(this);
-            }
+            trace = null;
+            return x;
         }
 
-        private boolean isOverdue(double now) {
-            return now > (!speaking ? quietSince + SILENT : fresh ? came + FIRST : spokeAt + SPEAKING);
+        private boolean isSilent() {
+            try {
+                if (ahead.position() == 0) {
+                    int got = below.read(ahead);
+                    if (got > 0) {
+                        heard(got);
+                        connection.getSourceChannel().wakeupReads();
+                    }
+                }
+                return ahead.position() == 0;
+            } catch (IOException e) {
+                return true;
+            }
         }
     }
 
     private final Clock clock;
     private final XnioIoThread io;
-    private final int most;
-    private final XnioExecutor.Key sweep;
+    private final Door door;
+    private final double sweep;
+    private final Visitor[] byIndex;
     private final Map<StreamConnection, Visitor> all = new HashMap<>();
     private final Set<String> traces = new HashSet<>();
-    /** Those without an exchange, the longest quiet first. */
-    private final Set<Visitor> quiet = new LinkedHashSet<>();
+    /** Told of an exchange whose client has gone. */
+    private final Consumer<Exchange> left;
+    private XnioExecutor.Key sweeping;
+    private boolean makingRoom, stopped;
+    private double toldAt = Double.NEGATIVE_INFINITY;
 
-    Visitors(Clock clock, XnioIoThread io, int most) {
+    Visitors(Clock clock, XnioIoThread io, Bounds bounds, long seed, Consumer<Exchange> left) {
         this.clock = clock;
         this.io = io;
-        this.most = most;
-        sweep = io.executeAtInterval(this::sweep, (long) (SWEEP * 1e9), TimeUnit.NANOSECONDS);
+        this.left = left;
+        door = new Door(bounds, this, seed);
+        sweep = bounds.sweep();
+        byIndex = new Visitor[door.indexes()];
+        // Danger: a class that is first needed when descriptors have run out may not be loaded any more.
+        door.sweep(clock.now());
+        sweepEvery(sweep);
+    }
+
+    private void sweepEvery(double seconds) {
+        sweeping = io.executeAtInterval(this::sweep, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
     /** How many have an exchange open. */
@@ -132,66 +222,111 @@
         return traces.size();
     }
 
-    /** Danger: clients that ask once and keep their connection would fill all places and keep others out. */
-    boolean isCrowded() {
-        return quiet.size() > UNUSED * most;
-    }
-
     Visitor of(StreamConnection connection) {
         return all.get(connection);
     }
 
-    void came(StreamConnection connection) {
-        Visitor visitor = new Visitor(connection);
+    /** Takes a connection in and has it read by then. */
+    void came(StreamConnection connection, ChannelListener<StreamConnection> then) {
+        int index = door.came(address(connection.getPeerAddress(InetSocketAddress.class)), clock.now());
+        if (index < 0) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        Visitor visitor = new Visitor(connection, index);
+        byIndex[index] = visitor;
         all.put(connection, visitor);
-        quiet.add(visitor);
-        if (all.size() > most) {
+        connection.getSourceChannel().setConduit(visitor.listening());
+        connection.getSinkChannel().setConduit(visitor.watching());
+        then.handleEvent(connection);
+        // Undertow has its own listener on the end, which is to hear of it first.
+        ChannelListener<? super StreamConnection> its = connection.getCloseListener();
+        connection.setCloseListener(closed -> {
+            ChannelListeners.invokeChannelListener(closed, its);
+            gone(visitor);
+        });
+        if (!connection.isOpen()) {
+            gone(visitor);
+        } else if (door.isCrowded() && !makingRoom) {
+            makingRoom = true;
             io.execute(this::makeRoom);
         }
     }
 
-    private void forgetClosed() {
-        quiet.removeIf(visitor -> !visitor.connection.isOpen());
-        all.values().removeIf(visitor -> !visitor.connection.isOpen());
+    /** What tells one address from another; of IPv6 the network, as one client has all of it. */
+    private static long address(InetSocketAddress peer) {
+        InetAddress address = peer == null ? null : peer.getAddress();
+        return address == null ? 0 : ByteBuffer.wrap(address.getAddress()).remaining() == 4
+                ? ByteBuffer.wrap(address.getAddress()).getInt() & 0xffff_ffffL
+                : ByteBuffer.wrap(address.getAddress()).getLong() & Long.MAX_VALUE;
     }
 
-    /** Danger: connections that say nothing would keep those out that bring exchanges. */
     private void makeRoom() {
-        forgetClosed();
-        double now = clock.now();
-        makeRoom(each -> each.fresh && now - each.came > PATIENCE && each.isSilent());
-        // Danger: heads without end would keep all others out. None was answered here: nothing is lost.
-        makeRoom(each -> each.fresh && now - each.came > 2 * PATIENCE);
-        makeRoom(each -> !each.fresh && each.isSilent());
+        makingRoom = false;
+        door.makeRoom(clock.now());
+        tell();
     }
 
-    /** Closes such as this, the longest quiet first, until there are few enough. */
-    private void makeRoom(Predicate<Visitor> such) {
-        for (Visitor each : all.size() > most ? List.copyOf(quiet) : List.<Visitor>of()) {
-            if (all.size() > most && such.test(each)) {
-                close(each);
-            }
+    private void sweep() {
+        if (!stopped) {
+            door.sweep(clock.now());
+            tell();
         }
     }
 
-    /** Danger: a head or body without end would hold its connection and its buffers for good. */
-    private void sweep() {
-        makeRoom();
+    /** A line a second at the most, while there is a crowd. */
+    private void tell() {
         double now = clock.now();
-        for (Visitor each : List.copyOf(quiet)) {
-            if (each.isOverdue(now) && (each.speaking || each.isSilent())) {
-                close(each);
-            }
+        if (door.isCrowded() && now >= toldAt + TELLS) {
+            toldAt = now;
+            LOG.info("crowd at the door: {}", door.told());
         }
     }
 
-    private void close(Visitor visitor) {
-        quiet.remove(visitor);
+    private void gone(Visitor visitor) {
+        if (visitor.gone) {
+            return;
+        }
+        door.gone(visitor.index, clock.now());
+        visitor.gone = true;
+        byIndex[visitor.index] = null;
         all.remove(visitor.connection);
+        Exchange x = visitor.ended();
+        if (x != null) {
+            left.accept(x);
+        }
+    }
+
+    @Override
+    public boolean isSilent(int i) {
+        return byIndex[i].isSilent();
+    }
+
+    @Override
+    public void close(int i, Reason why) {
+        Visitor visitor = byIndex[i];
         IoUtils.safeClose(visitor.connection);
+        gone(visitor);
+    }
+
+    /** Answers close their connections from now on, and the others go one by one until a time. */
+    void drain(double until) {
+        LOG.info("the door drains: {}", door.told());
+        door.drain(clock.now(), until);
+        sweeping.remove();
+        sweepEvery(sweep / DRAINING_SWEEPS);
     }
 
     void stop() {
-        sweep.remove();
+        stopped = true;
+        sweeping.remove();
+        if (door.ended(Reason.CROWD) + door.ended(Reason.WITH_ANSWER) > 0) {
+            LOG.info("the door closes: {}", door.told());
+        }
+    }
+
+    /** How many connections there are in a state. */
+    int in(State state) {
+        return door.in(state);
     }
 }
--- /dev/null
+++ b/src/test/java/lemondrift/serve/DoorTest.java
@@ -0,0 +1,255 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.ByteArrayOutputStream;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipOutputStream;
+import lemondrift.door.Bounds;
+import lemondrift.settings.BadInput;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The door's hard cases on loopback, with scripted clients. */
+class DoorTest extends Loopback {
+    private final List<Socket> clients = new ArrayList<>();
+
+    @AfterEach
+    void leave() throws IOException {
+        for (Socket each : clients) {
+            each.close();
+        }
+    }
+
+    private Socket connect(int window) throws IOException {
+        Socket client = new Socket();
+        clients.add(client);
+        if (window > 0) {
+            client.setReceiveBufferSize(window);
+        }
+        client.setSoTimeout(20_000);
+        client.connect(new InetSocketAddress("127.0.0.1", proxy.address().getPort()));
+        return client;
+    }
+
+    private static byte[] look(int id) {
+        return ("GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: door-" + id + "\r\nX-Qos: look\r\n"
+                + "X-Expires-In-Ms: 4000\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static void say(Socket client, byte[] text) throws IOException {
+        client.getOutputStream().write(text);
+    }
+
+    @Test
+    void aRequestThatCrossesAClosingAnswerIsNeverServedByHalf() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        StandIn backend = backend(go);
+        start(backend);
+        List<Socket> crossing = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            crossing.add(connect(0));
+            say(crossing.get(i), look(2 * i));
+            say(crossing.get(i), look(2 * i + 1));
+        }
+        assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+        Thread drain = drains();
+        go.countDown();
+        for (Socket each : crossing) {
+            String answer = read(each);
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("body"), answer);
+            assertEquals(-1, each.getInputStream().read(), "closed, with nothing begun for the second");
+        }
+        drain.join();
+        assertEquals(Proxy.Phase.STOPPED, proxy.phase());
+        assertTrue(backend.requests.stream().noneMatch(request -> request.matches(
+                "(?s).*X-Trace-Id: door-\\d*[13579]\r\n.*")), "what crossed was not forwarded");
+    }
+
+    @Test
+    void aRequestSentAheadInPiecesIsAnsweredInItsTurn() throws Exception {
+        start(backend(OK));
+        Socket client = connect(0);
+        byte[] second = look(2);
+        say(client, look(1));
+        client.getOutputStream().write(second, 0, 30);
+        assertTrue(read(client).startsWith("HTTP/1.1 200"));
+        client.getOutputStream().write(second, 30, second.length - 30);
+        assertTrue(read(client).startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    void oneThatSendsManyAheadHoldsNobodyUp() throws Exception {
+        start(backend(OK));
+        Socket client = connect(0);
+        byte[] health = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        ByteArrayOutputStream ahead = new ByteArrayOutputStream();
+        for (int i = 0; i < 2000; i++) {
+            ahead.writeBytes(health);
+        }
+        Thread writer = new Thread(() -> {
+            try {
+                say(client, ahead.toByteArray());
+            } catch (IOException e) {
+                // It was closed, which fails the count below.
+            }
+        });
+        writer.start();
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+        for (int i = 0; i < 2000; i++) {
+            assertTrue(read(client).startsWith("HTTP/1.1 200"), "answer " + i);
+        }
+        writer.join();
+    }
+
+    @Test
+    void answersThatAreNotFetchedHoldNobodyUp() throws Exception {
+        start(backend(http("x".repeat(64 * 1024))));
+        for (int i = 0; i < 8; i++) {
+            Socket slow = connect(1024);
+            say(slow, look(i));
+            assertEquals('H', slow.getInputStream().read(), "the answer has come, and is fetched no further");
+        }
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, order("x").statusCode());
+        }
+    }
+
+    @Test
+    void whoIsTurnedAwayAgainAndAgainIsClosed() throws Exception {
+        start(backend(OK));
+        Socket client = connect(0);
+        byte[] bad = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        int turnedAway = 0;
+        try {
+            for (String answer = ""; answer != null; turnedAway++) {
+                say(client, bad);
+                answer = read(client);
+                assertTrue(answer == null || answer.startsWith("HTTP/1.1 400"), answer);
+            }
+        } catch (IOException e) {
+            // The close crossed the next request.
+        }
+        assertTrue(turnedAway >= 6 && turnedAway <= 7, "after " + turnedAway);
+        assertEquals(200, order("x").statusCode());
+    }
+
+    @Test
+    void aDrainInTheMiddleOfAFloodAnswersWhatWasTaken() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        StandIn backend = backend(go);
+        start(backend);
+        Socket taken = connect(0);
+        say(taken, look(1));
+        assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+        for (int i = 0; i < 60; i++) {
+            connect(0);
+        }
+        Thread drain = drains();
+        go.countDown();
+        assertTrue(read(taken).startsWith("HTTP/1.1 200"));
+        drain.join();
+        assertEquals(Proxy.Phase.STOPPED, proxy.phase());
+    }
+
+    /** The program as one file, as it is run: a class in a folder can't be loaded without a descriptor. */
+    private static Path jar(Path folder) throws Exception {
+        Path classes = Path.of(Serve.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        Path jar = folder.resolve("lemondrift.jar");
+        try (var out = new ZipOutputStream(Files.newOutputStream(jar)); var files = Files.walk(classes)) {
+            for (Path each : files.filter(Files::isRegularFile).toList()) {
+                out.putNextEntry(new ZipEntry(classes.relativize(each).toString()));
+                out.write(Files.readAllBytes(each));
+            }
+        }
+        return jar;
+    }
+
+    /** Descriptors run out under the proxy, as it was told of more than it has. */
+    @Test
+    void descriptorsThatRunOutLoseNobodyWhoWaits(@TempDir Path folder) throws Exception {
+        String members = list(1, true, member(0, backend(OK).port(), "active"));
+        StandIn list = backend(request -> request.contains("?") ? SILENCE : http(members));
+        int port;
+        try (var free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Path file = Files.writeString(folder.resolve("config.json"), config(list.port(), false)
+                .replace("127.0.0.1:0", "127.0.0.1:" + port).replace("\"sockets\":64", "\"sockets\":1024"));
+        ProcessBuilder start = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 100; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                        "-XX:-MaxFDLimit",
+                "-XX:TieredStopAtLevel=1", "-cp", jar(folder) + File.pathSeparator
+                + System.getProperty("java.class.path"), "lemondrift.Main", "serve");
+        start.environment().put("PROXY_CONFIG", file.toString());
+        Process process
+                = start.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        try {
+            Socket client = null;
+            for (int tries = 0; client == null && tries < 400; tries++) {
+                try {
+                    client = new Socket("127.0.0.1", port);
+                } catch (IOException e) {
+                    Thread.sleep(50);
+                }
+            }
+            assertNotNull(client, "it listens");
+            clients.add(client);
+            say(client, look(0));
+            assertTrue(read(client).startsWith("HTTP/1.1 200"));
+            for (int i = 0; i < 120; i++) {
+                clients.add(new Socket("127.0.0.1", port));
+            }
+            // Those beyond its descriptors wait with the system until the silent ones have gone.
+            Socket last = clients.get(120);
+            last.setSoTimeout(20_000);
+            say(last, look(1));
+            String answer = read(last);
+            assertTrue(answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void theDoorsFileIsReadOrRefusedInOneLine(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("door.json");
+        Bounds usual = Config.read(config(1, false)).door();
+        Files.writeString(file, "{\"quiet\": 60, \"sharing\": \"tenant\", \"announces\": true}");
+        Bounds read = DoorFile.read(file, usual);
+        assertEquals(60, read.quiet());
+        assertEquals(Bounds.Sharing.TENANT, read.sharing());
+        assertEquals(usual.earliest() / usual.quiet(), read.earliest() / read.quiet(), 1e-9);
+        Path config = Files.writeString(folder.resolve("config.json"), config(1, false));
+        for (String bad : List.of("", "[]", "{\"quiet\": \"soon\"}", "{\"quiet\": 0}", "{\"quite\": 2}",
+                "{\"quiet\": 2, \"earliest\": 3}", "{\"sharing\": \"all\"}", "{\"announces\": 1}",
+                "{\"leastRate\": []}", "{\"quiet\": null}")) {
+            Files.writeString(file, bad);
+            assertThrows(BadInput.class, () -> DoorFile.read(file, usual), bad);
+            ByteArrayOutputStream err = new ByteArrayOutputStream();
+            assertEquals(1, Serve.check(Map.of("PROXY_CONFIG", config.toString(), "PROXY_DOOR",
+                    file.toString()),
+                    new PrintStream(err)));
+            assertEquals(1, err.toString().lines().count(), err.toString());
+            assertTrue(err.toString().contains("door.json"), err.toString());
+        }
+    }
+}
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -26,7 +26,7 @@
     private volatile double now = 1000;
     private volatile boolean failing;
     private final Owner owner = new Owner(new Balancer(SETTINGS, 7), new Directory(List.of("a")), () -> now,
-            this);
+            this, 1);
 
     private Forward arrive(long id) throws InterruptedException {
         owner.arrived(new Taken(new Exchange(id, 0, 0, now, 2), null, new byte[0]));
@@ -147,6 +147,10 @@
         did.add((shed ? "shed " : "scrapped ") + taken.exchange().id);
     }
 
+    @Override
+    public void decided(int exchanges, double seconds) {
+    }
+
     @Override
     public void act() {
     }
