--- a/src/test/java/lemondrift/serve/DoorLoad.java
+++ b/src/test/java/lemondrift/serve/DoorLoad.java
@@ -24,7 +24,7 @@
     private static final double SECONDS = 4;
 
     /** One proxy of a build, with a backend and a discovery of this process. */
-    private static final class Build implements AutoCloseable {
+    private static final class Build {
         final Process process;
         final int port;
 
@@ -54,7 +54,8 @@
             start.environment().put("PROXY_CONFIG", config.toString());
             process = start.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             for (int tries = 0; tries < 200; tries++) {
-                try (Socket ready = new Socket("127.0.0.1", port)) {
+                try {
+                    new Socket("127.0.0.1", port).close();
                     break;
                 } catch (IOException e) {
                     Thread.sleep(50);
@@ -67,8 +68,7 @@
             return process.info().totalCpuDuration().orElseThrow().toNanos() / 1e9;
         }
 
-        @Override
-        public void close() throws InterruptedException {
+        void end() throws InterruptedException {
             process.destroyForcibly().waitFor();
         }
     }
@@ -238,7 +238,7 @@
             }
         }
         for (Build build : builds) {
-            build.close();
+            build.end();
         }
     }
 }
