--- /dev/null
+++ b/src/main/java/lemondrift/lab/Baseline.java
@@ -0,0 +1,171 @@
+package lemondrift.lab;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
+import lemondrift.lab.world.Decider;
+import lemondrift.model.Effect;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Policies to compare the module with, and nothing else: they pick, send again what is proved never to have
+ * run, and keep rules one to three. They judge no health and spare no cold backend.
+ */
+public final class Baseline implements Decider {
+    /** How a baseline picks among the backends that are listed as ready. */
+    public enum Kind {
+        /** Any, each as likely. */
+        RANDOM,
+        /** One after another. */
+        ROUND_ROBIN,
+        /** The one with the fewest of this proxy's own forwards out. */
+        LEAST_OUTSTANDING,
+        /** The one of two at random with the fewest out. */
+        TWO_CHOICES,
+        /** The least peak of fading answer times, by one more than the forwards out (Finagle's Peak EWMA). */
+        PEAK_EWMA,
+        /** The one with the least true load, which no proxy can see. */
+        ORACLE
+    }
+
+    /** Seconds over which a peak of answer times fades, and the forwards that an exchange may have. */
+    private static final double FADES = 5;
+    private static final int MOST = 3;
+
+    private final Kind kind;
+    private final Settings settings;
+    private final UniformRandomProvider chance;
+    private final IntToDoubleFunction trueLoad;
+    private final Turn turn = new Turn();
+    private boolean[] ready = {};
+    private int[] out = {};
+    private double[] peak = {}, peakAt = {};
+    private int last;
+
+    /** The true load of a backend is asked for by the oracle alone. */
+    public Baseline(Kind kind, Settings settings, long seed, IntToDoubleFunction trueLoad) {
+        this.kind = kind;
+        this.settings = settings;
+        this.trueLoad = trueLoad;
+        chance = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    private Turn nothing() {
+        turn.clear();
+        return turn;
+    }
+
+    @Override
+    public Turn arrived(double now, Exchange x) {
+        nothing();
+        x.contract = Math.min(x.expiry, now + settings.grades().get(x.grade).contractTime());
+        sends(now, x);
+        return turn;
+    }
+
+    private void sends(double now, Exchange x) {
+        int to = now < x.contract && x.forwards < MOST ? pick(now) : -1;
+        if (to < 0) {
+            boolean shed = x.mayHaveRun == null
+                    || settings.grades().get(x.grade).effect() == Effect.PURE;
+            x.over = true;
+            turn.answers.add(new Turn.Answer(x, shed, 0));
+            return;
+        }
+        x.latest = new Forward(x, to, now, x.contract - now, 0);
+        x.forwards++;
+        x.out++;
+        out[to]++;
+        turn.sends.add(x.latest);
+    }
+
+    private int pick(double now) {
+        int[] all = IntStream.range(0, ready.length).filter(i -> ready[i]).toArray();
+        if (all.length == 0) {
+            return -1;
+        }
+        int any = all[chance.nextInt(all.length)];
+        return switch (kind) {
+            case RANDOM -> any;
+            case ROUND_ROBIN -> all[last++ % all.length];
+            case LEAST_OUTSTANDING -> least(all, any, i -> out[i]);
+            case TWO_CHOICES -> {
+                int other = all[chance.nextInt(all.length)];
+                yield out[other] < out[any] ? other : any;
+            }
+            case PEAK_EWMA -> least(all, any, i -> (out[i] + 1)
+                    * peak[i] * Math.exp((peakAt[i] - now) / FADES));
+            case ORACLE -> least(all, any, trueLoad);
+        };
+    }
+
+    /** The least of all by a figure, a random one where it is no worse than any. */
+    private static int least(int[] all, int any, IntToDoubleFunction figure) {
+        int best = any;
+        double least = figure.applyAsDouble(any);
+        for (int i : all) {
+            double its = figure.applyAsDouble(i);
+            if (its < least) {
+                least = its;
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    @Override
+    public Turn ended(double now, Forward f, Outcome outcome, double took, boolean over, double[] report) {
+        nothing();
+        Exchange x = f.exchange;
+        f.ended = true;
+        x.out--;
+        out[f.backend]--;
+        x.over |= over;
+        double faded = peak[f.backend] * Math.exp((peakAt[f.backend] - now) / FADES);
+        peak[f.backend] = Math.max(took, faded + (took - faded) / 8);
+        peakAt[f.backend] = now;
+        x.mayHaveRun = !outcome.neverRan && x.mayHaveRun == null ? f : x.mayHaveRun;
+        if (!x.over && (outcome.neverRan || settings.grades().get(x.grade).effect() == Effect.PURE)) {
+            sends(now, x);
+        } else if (!x.over) {
+            x.over = true;
+            turn.answers.add(new Turn.Answer(x, false, 0));
+        }
+        return turn;
+    }
+
+    @Override
+    public Turn probed(double now, int backend, Outcome outcome, double[] report) {
+        return nothing();
+    }
+
+    @Override
+    public Turn left(double now, Exchange x) {
+        x.over = true;
+        return nothing();
+    }
+
+    @Override
+    public Turn listed(double now, boolean whole, List<Listed> lines) {
+        int size = Math.max(ready.length, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1);
+        ready = Arrays.copyOf(ready, size);
+        out = Arrays.copyOf(out, size);
+        peak = Arrays.copyOf(peak, size);
+        peakAt = Arrays.copyOf(peakAt, size);
+        lines.forEach(line -> ready[line.backend()] = line.state() == Listed.State.READY);
+        return nothing();
+    }
+
+    @Override
+    public Turn woken(double now) {
+        return nothing();
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/lab/world/Backend.java
@@ -0,0 +1,168 @@
+package lemondrift.lab.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import lemondrift.model.Settings;
+
+/** A backend: cores, one queue before them, and what may go wrong with it. */
+final class Backend {
+    /** One exchange that it holds; the end hears once how it went, unless it is dropped. */
+    static final class Job {
+        private final double work;
+        private final Ended ended;
+        private Agenda.Entry end;
+        private boolean dropped;
+
+        private Job(double work, Ended ended) {
+            this.work = work;
+            this.ended = ended;
+        }
+    }
+
+    /** How a job ended: whether it ran to its end. */
+    interface Ended {
+        void ended(boolean ran);
+    }
+
+    /** Seconds over which utilisation is a mean, and exchanges that may wait for each core. */
+    private static final double MEAN = 0.1;
+    private static final int MOST_WAITING = 20;
+
+    private final Agenda agenda;
+    private final int cores;
+    private final Settings.Rules rules;
+    /** Work that came while it was cold, with the time, within the window in which it may fall over. */
+    private final Deque<double[]> coldWork = new ArrayDeque<>();
+    private final Deque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> running = new ArrayList<>();
+    private double startedAt = Double.NEGATIVE_INFINITY, stalledUntil, busy, busyAt;
+    /** How many troubles of a kind are on it, and the slowest of those that slow it. */
+    int dead, silent, draining;
+    double slow = 1, errors, gradeErrors;
+
+    Backend(Agenda agenda, int cores, Settings.Rules rules) {
+        this.agenda = agenda;
+        this.cores = cores;
+        this.rules = rules;
+    }
+
+    boolean isUp() {
+        return dead == 0;
+    }
+
+    /** The share of its capacity that it has now. */
+    private double warmth() {
+        double age = (agenda.now() - startedAt) / rules.cold();
+        return age >= 1 ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age);
+    }
+
+    /** Whether this much more work pushes it over: cold, it got more in a window than it can bear. */
+    boolean fallsOver(double work) {
+        double warmth = warmth(), now = agenda.now();
+        if (warmth == 1) {
+            coldWork.clear();
+            return false;
+        }
+        coldWork.add(new double[] {now, work});
+        while (coldWork.peek()[0] < now - rules.fallWindow()) {
+            coldWork.remove();
+        }
+        return coldWork.size() > 1 && coldWork.stream().mapToDouble(each -> each[1]).sum()
+                > rules.fallMultiple() * warmth * cores * rules.fallWindow();
+    }
+
+    boolean isFull() {
+        return waiting.size() >= MOST_WAITING * cores;
+    }
+
+    /** What it holds, by how much of its capacity it has now. */
+    double load() {
+        return (waiting.size() + running.size()) / (double) cores * slow / warmth()
+                + Math.max(0, stalledUntil - agenda.now());
+    }
+
+    int queued() {
+        return waiting.size();
+    }
+
+    /** How busy its cores are, a mean that fades. */
+    double utilisation() {
+        count();
+        return Math.min(1, busy);
+    }
+
+    private void count() {
+        double share = Math.exp((busyAt - agenda.now()) / MEAN);
+        busy = busy * share + (1 - share) * running.size() / cores;
+        busyAt = agenda.now();
+    }
+
+    /** Takes an exchange whose work is so many seconds of a core of speed one. */
+    Job take(double work, Ended ended) {
+        Job job = new Job(work, ended);
+        waiting.add(job);
+        start();
+        return job;
+    }
+
+    private void start() {
+        while (!waiting.isEmpty() && running.size() < cores && isUp()) {
+            count();
+            Job job = waiting.remove();
+            running.add(job);
+            double begins = Math.max(agenda.now(), stalledUntil);
+            job.end = agenda.at(begins + job.work * slow / warmth(), () -> finish(job));
+        }
+    }
+
+    private void finish(Job job) {
+        if (agenda.now() < stalledUntil) {
+            // What was to end while all stands still ends when it goes on.
+            job.end = agenda.at(stalledUntil, () -> finish(job));
+            return;
+        }
+        count();
+        running.remove(job);
+        if (!job.dropped) {
+            job.ended.ended(true);
+        }
+        start();
+    }
+
+    /** Nobody waits for it any more: it is taken out where it waits, and goes on where it runs. */
+    void drop(Job job) {
+        job.dropped = true;
+        waiting.remove(job);
+    }
+
+    void stall(double until) {
+        stalledUntil = Math.max(stalledUntil, until);
+    }
+
+    /** The process is gone with all it held; of what is told, each has its end. */
+    void dies(boolean tells) {
+        count();
+        List<Job> held = new ArrayList<>(running);
+        held.addAll(waiting);
+        running.clear();
+        waiting.clear();
+        for (Job job : held) {
+            if (job.end != null) {
+                job.end.strike();
+            }
+            if (tells && !job.dropped) {
+                job.ended.ended(false);
+            }
+        }
+    }
+
+    void restarts() {
+        startedAt = agenda.now();
+        coldWork.clear();
+        busy = 0;
+        busyAt = agenda.now();
+        start();
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/lab/world/Referee.java
@@ -0,0 +1,213 @@
+package lemondrift.lab.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lemondrift.model.Effect;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Group;
+import lemondrift.model.Outcome;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+
+/**
+ * Judges a day by the four rules alone. It shares no code with the decisions and sees only what passes: what
+ * is taken, sent, ended, told and answered. The first rule that is broken fails the run, with
+ * what went before it.
+ */
+public final class Referee {
+    /** How many events before a broken rule are told. */
+    private static final int TOLD = 12;
+
+    /** A rule was broken; the message names rule, exchange, time and the events before. */
+    public static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1;
+        public final int rule;
+
+        Broken(int rule, String message) {
+            super(message);
+            this.rule = rule;
+        }
+    }
+
+    private record Event(double at, String what, int proxy, long exchange, int backend) {}
+
+    /** What was seen of one exchange. */
+    private static final class Seen {
+        final List<Forward> forwards = new ArrayList<>();
+        final Map<Forward, Outcome> outcomes = new HashMap<>();
+        boolean answered;
+    }
+
+    /** Work that was sent to a backend that is not warm, and when. */
+    private record Sent(double at, double work) {}
+
+    private final Settings settings;
+    private final int rules;
+    private final double grace;
+    private final Map<Exchange, Seen> open = new HashMap<>();
+    private final Deque<Event> events = new ArrayDeque<>();
+    /** When a proxy was told that a backend wants nothing new. */
+    private final double[][] told;
+    private final double[] started, capacity;
+    private final List<Deque<Sent>> cold = new ArrayList<>();
+    private final int[] location;
+
+    Referee(Settings settings, int rules, double grace, int proxies, int[] location, double capacityOfEach) {
+        this.settings = settings;
+        this.rules = rules;
+        this.grace = grace;
+        this.location = location;
+        told = new double[proxies][location.length];
+        for (double[] each : told) {
+            Arrays.fill(each, Double.POSITIVE_INFINITY);
+        }
+        started = new double[location.length];
+        Arrays.fill(started, Double.NEGATIVE_INFINITY);
+        capacity = new double[location.length];
+        Arrays.fill(capacity, capacityOfEach);
+        for (int i = 0; i < location.length; i++) {
+            cold.add(new ArrayDeque<>());
+        }
+    }
+
+    private void saw(double at, String what, int proxy, long exchange, int backend) {
+        if (events.size() == TOLD) {
+            events.removeFirst();
+        }
+        events.add(new Event(at, what, proxy, exchange, backend));
+    }
+
+    private void broken(int rule, String why, double at, int proxy, long exchange) {
+        if (rule > rules) {
+            return;
+        }
+        StringBuilder text = new StringBuilder("rule " + rule + " broken at " + at + " s by proxy " + proxy
+                + ", exchange " + exchange + ": " + why);
+        for (Event each : events) {
+            text.append("\n  ").append(each.at).append(" s ").append(each.what).append(", proxy ")
+                    .append(each.proxy).append(", exchange ").append(each.exchange).append(", backend ")
+                    .append(each.backend);
+        }
+        throw new Broken(rule, text.toString());
+    }
+
+    void taken(int proxy, Exchange x, double now) {
+        saw(now, "taken", proxy, x.id, -1);
+        open.put(x, new Seen());
+    }
+
+    void sent(int proxy, Forward f, double work, double now) {
+        saw(now, "sent", proxy, f.exchange.id, f.backend);
+        Seen seen = open.get(f.exchange);
+        if (seen == null || seen.answered || now >= f.exchange.expiry) {
+            broken(1, "sent after its answer or expiry", now, proxy, f.exchange.id);
+            return;
+        }
+        for (Forward before : seen.forwards) {
+            Outcome outcome = seen.outcomes.get(before);
+            if ((outcome == null || !outcome.neverRan) && !mayRepeat(f, before, now)) {
+                broken(2, "sent again though it may have run at backend " + before.backend, now, proxy,
+                        f.exchange.id);
+            }
+        }
+        seen.forwards.add(f);
+        if (now > told[proxy][f.backend] + grace) {
+            broken(3, "sent to a backend told as leaving at " + told[proxy][f.backend], now, proxy,
+                    f.exchange.id);
+        }
+        countCold(proxy, f, work, now);
+    }
+
+    private boolean mayRepeat(Forward f, Forward before, double now) {
+        ServiceGrade grade = settings.grades().get(f.exchange.grade);
+        return grade.effect() == Effect.PURE || grade.effect() == Effect.RECEIPTED
+                && now - before.sent < grade.receiptMemory() && (grade.group() == Group.ALL
+                || grade.group() == Group.LOCATION && location[before.backend] == location[f.backend]
+                || before.backend == f.backend);
+    }
+
+    /** Rule 4: all proxies' work for a cold backend in any window, against what it can do then. */
+    private void countCold(int proxy, Forward f, double work, double now) {
+        double age = now - started[f.backend], window = settings.rules().fallWindow();
+        if (age >= settings.rules().cold()) {
+            return;
+        }
+        Deque<Sent> sent = cold.get(f.backend);
+        sent.add(new Sent(now, work));
+        while (sent.peek().at < now - window) {
+            sent.remove();
+        }
+        double share = settings.rules().coldFrom()
+                + (1 - settings.rules().coldFrom()) * Math.max(0, age) / settings.rules().cold();
+        double bearable = settings.rules().fallMultiple() * share * capacity[f.backend] * window;
+        // One exchange that is heavier than the window's budget by itself pushes nobody over.
+        if (sent.size() > 1 && sent.stream().mapToDouble(Sent::work).sum() > bearable) {
+            broken(4, "a cold backend got more than it can bear, " + sent.size() + " exchanges in a window",
+                    now, proxy, f.exchange.id);
+        }
+    }
+
+    void ended(Forward f, Outcome outcome, double now) {
+        Seen seen = open.get(f.exchange);
+        saw(now, outcome.name(), -1, f.exchange.id, f.backend);
+        if (seen != null) {
+            seen.outcomes.put(f, outcome);
+        }
+    }
+
+    /** A final answer; shed promises that a retry is harmless. */
+    void answered(int proxy, Exchange x, boolean shed, double now) {
+        saw(now, shed ? "shed" : "answered", proxy, x.id, -1);
+        Seen seen = open.get(x);
+        if (seen == null || seen.answered || now > x.expiry + 1e-9) {
+            broken(1, "answered twice or after its expiry", now, proxy, x.id);
+            return;
+        }
+        seen.answered = true;
+        ServiceGrade grade = settings.grades().get(x.grade);
+        boolean harmless = grade.effect() == Effect.PURE || grade.effect() == Effect.RECEIPTED
+                && grade.group() == Group.ALL || seen.forwards.stream()
+                        .allMatch(f -> seen.outcomes.get(f) != null && seen.outcomes.get(f).neverRan);
+        if (shed && !harmless) {
+            broken(2, "shed though it may have run", now, proxy, x.id);
+        }
+    }
+
+    /** The client has gone, or its time is up: whoever has not answered by then never did. */
+    void closed(int proxy, Exchange x, boolean left, double now) {
+        Seen seen = open.get(x);
+        if (seen != null && !seen.answered && !left) {
+            broken(1, "no answer by its expiry", now, proxy, x.id);
+        }
+        if (seen != null) {
+            seen.answered = true;
+        }
+    }
+
+    /** Nothing more is to be seen of it. */
+    void forgets(Exchange x) {
+        open.remove(x);
+    }
+
+    /** A proxy was told that a backend wants nothing new, or that it is ready. */
+    void told(int proxy, int backend, boolean ready, double now) {
+        saw(now, ready ? "told ready" : "told leaving", proxy, -1, backend);
+        told[proxy][backend] = ready ? Double.POSITIVE_INFINITY : Math.min(now, told[proxy][backend]);
+    }
+
+    void started(int backend, double now) {
+        started[backend] = now;
+        cold.get(backend).clear();
+    }
+
+    /** How many exchanges it still knows; bounded by those that are open. */
+    int known() {
+        return open.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/lab/world/World.java
@@ -0,0 +1,421 @@
+package lemondrift.lab.world;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Plays one day in virtual time: clients, proxies, backends and discovery, with a referee over all of it. */
+public final class World {
+    /** A client asks again after this share of the contract time where it is told nothing else. */
+    private static final double WAIT = 0.5;
+
+    /** What a client wants: it asks until it has it, or has asked often enough. */
+    private static final class Want {
+        final int grade;
+        final double until;
+        int tries;
+
+        Want(int grade, double until) {
+            this.grade = grade;
+            this.until = until;
+        }
+    }
+
+    /** One forward while it is out. */
+    private static final class Out {
+        final int proxy;
+        final double work;
+        Backend.Job job;
+        Agenda.Entry timeOut;
+
+        Out(int proxy, double work) {
+            this.proxy = proxy;
+            this.work = work;
+        }
+    }
+
+    private final Day day;
+    private final Settings settings;
+    private final Agenda agenda = new Agenda();
+    private final UniformRandomProvider chance;
+    private final ZigguratSampler.Exponential gaps;
+    private final ZigguratSampler.NormalizedGaussian bell;
+    private final Backend[] backends;
+    private final int[] location;
+    private final double[] startTold;
+    private final Decider[] proxies;
+    private final Agenda.Entry[] wakes;
+    private final Referee referee;
+    private final Figures figures = new Figures();
+    private final Map<Exchange, Want> wants = new HashMap<>();
+    private final Map<Exchange, Agenda.Entry> expiries = new HashMap<>();
+    private final Map<Forward, Out> out = new HashMap<>();
+    private double traffic = 1, heavy = 1, silentUntil;
+    private long exchanges;
+
+    /** The deciders are made by the number of their proxy, and judged by all four rules. */
+    public World(Day day, IntFunction<Decider> deciders) {
+        this(day, 4, deciders);
+    }
+
+    /** The same judged by the first rules alone: a baseline spares no cold backend, which is the fourth. */
+    public World(Day day, int rules, IntFunction<Decider> deciders) {
+        this.day = day;
+        settings = day.settings();
+        chance = RandomSource.XO_RO_SHI_RO_128_PP.create(day.seed());
+        gaps = ZigguratSampler.Exponential.of(chance);
+        bell = ZigguratSampler.NormalizedGaussian.of(chance);
+        backends = new Backend[day.backends()];
+        location = new int[day.backends()];
+        startTold = new double[day.backends()];
+        for (int i = 0; i < backends.length; i++) {
+            backends[i] = new Backend(agenda, day.cores(), settings.rules());
+            location[i] = i % settings.locations();
+        }
+        referee = new Referee(settings, rules, day.grace(), day.proxies(), location, day.cores());
+        proxies = new Decider[day.proxies()];
+        wakes = new Agenda.Entry[day.proxies()];
+        for (int p = 0; p < proxies.length; p++) {
+            proxies[p] = deciders.apply(p);
+        }
+    }
+
+    /** Plays the day to its end. Throws Referee.Broken at the first rule that is broken. */
+    public Figures play() {
+        // The first lists come with the start; a proxy that knows no backend would shed all.
+        List<Listed> all = new ArrayList<>();
+        for (int i = 0; i < backends.length; i++) {
+            all.add(line(i, Listed.State.READY));
+        }
+        for (int p = 0; p < proxies.length; p++) {
+            carryOut(p, proxies[p].listed(agenda.now(), true, all));
+        }
+        for (Trouble each : day.troubles()) {
+            agenda.at(each.at(), () -> begins(each));
+        }
+        agenda.in(gaps.sample() / day.rate(), this::comes);
+        double longest = settings.grades().stream().mapToDouble(ServiceGrade::expiry).max().orElse(1);
+        agenda.runUntil(day.lasts() + (day.tries() + 1) * 2 * longest);
+        if (!wants.isEmpty()) {
+            throw new IllegalStateException(wants.size() + " exchanges are open after the day");
+        }
+        return figures;
+    }
+
+    /** What a backend truly has to do, in exchanges for each core that works; infinite where it is gone. */
+    public double trueLoad(int i) {
+        Backend backend = backends[i];
+        return !backend.isUp() || backend.silent > 0 ? Double.POSITIVE_INFINITY
+                : backend.load() + (backend.errors + backend.gradeErrors) * day.cores();
+    }
+
+    /** What has come of the day so far. */
+    public Figures figures() {
+        return figures;
+    }
+
+    // Clients.
+
+    private void comes() {
+        if (agenda.now() >= day.lasts()) {
+            return;
+        }
+        int grade = chance.nextInt(settings.grades().size());
+        ServiceGrade its = settings.grades().get(grade);
+        figures.wanted += its.benefit();
+        asks(new Want(grade, agenda.now() + its.contractTime()));
+        agenda.in(gaps.sample() / (day.rate() * traffic), this::comes);
+    }
+
+    private void asks(Want want) {
+        want.tries++;
+        ServiceGrade its = settings.grades().get(want.grade);
+        int proxy = chance.nextInt(proxies.length);
+        Exchange x = new Exchange(++exchanges, want.grade, 0, agenda.now(), its.expiry());
+        wants.put(x, want);
+        figures.taken++;
+        referee.taken(proxy, x, agenda.now());
+        expiries.put(x, agenda.at(x.expiry, () -> expires(proxy, x)));
+        carryOut(proxy, proxies[proxy].arrived(agenda.now(), x));
+    }
+
+    private void expires(int proxy, Exchange x) {
+        figures.unanswered++;
+        wants.remove(x);
+        referee.closed(proxy, x, false, agenda.now());
+    }
+
+    private void answered(int proxy, Exchange x, boolean delivered, boolean shed, double retryAfter) {
+        referee.answered(proxy, x, shed, agenda.now());
+        Want want = wants.remove(x);
+        if (want == null) {
+            return;
+        }
+        expiries.remove(x).strike();
+        ServiceGrade its = settings.grades().get(want.grade);
+        if (delivered) {
+            figures.delivered++;
+            boolean inTime = agenda.now() <= want.until;
+            figures.served += inTime ? its.benefit() : its.lateBenefit();
+            figures.late += inTime ? 0 : 1;
+        } else {
+            figures.shed += shed ? 1 : 0;
+            figures.scrapped += shed ? 0 : 1;
+            // What was scrapped may have run: a careful client does not ask for it again.
+            if (shed && want.tries < day.tries()) {
+                agenda.in(retryAfter > 0 ? retryAfter : WAIT * its.contractTime(), () -> asks(want));
+            }
+        }
+        forgetIfDone(x);
+    }
+
+    private void forgetIfDone(Exchange x) {
+        if (!wants.containsKey(x) && x.out == 0) {
+            referee.forgets(x);
+        }
+    }
+
+    // Proxies.
+
+    private void carryOut(int proxy, Turn turn) {
+        // The next call reuses the turn: what it asks for is taken out of it first.
+        List<Forward> cancels = List.copyOf(turn.cancels), sends = List.copyOf(turn.sends);
+        List<Turn.Answer> answers = List.copyOf(turn.answers);
+        List<Integer> probes = List.copyOf(turn.probes);
+        double wakeAt = turn.wakeAt;
+        if (wakes[proxy] != null) {
+            wakes[proxy].strike();
+        }
+        wakes[proxy] = wakeAt == Double.POSITIVE_INFINITY ? null
+                : agenda.at(wakeAt, () -> carryOut(proxy, proxies[proxy].woken(agenda.now())));
+        cancels.forEach(f -> cancel(proxy, f));
+        sends.forEach(f -> send(proxy, f));
+        answers.forEach(a -> answered(proxy, a.exchange(), false, a.shed(), a.retryAfter()));
+        probes.forEach(i -> probe(proxy, i));
+    }
+
+    private void send(int proxy, Forward f) {
+        double spread = day.spread();
+        double work = day.work() * heavy * Math.exp(spread * bell.sample() - spread * spread / 2);
+        figures.forwards++;
+        referee.sent(proxy, f, work, agenda.now());
+        Out its = new Out(proxy, work);
+        out.put(f, its);
+        its.timeOut = agenda.in(Math.max(0, f.timeOut), () -> {
+            if (its.job != null) {
+                backends[f.backend].drop(its.job);
+            }
+            ended(f, Outcome.TIMED_OUT);
+        });
+        agenda.in(day.way(), () -> reaches(f, its));
+    }
+
+    private void reaches(Forward f, Out its) {
+        Backend backend = backends[f.backend];
+        if (!out.containsKey(f) || backend.silent > 0) {
+            return;
+        }
+        boolean errs = chance.nextDouble() < Math.max(backend.errors, f.exchange.grade == 0
+                ? backend.gradeErrors : 0);
+        if (!backend.isUp()) {
+            back(f, Outcome.CONNECT_FAILED);
+        } else if (backend.fallsOver(its.work)) {
+            // It stays down for the day: nobody brings it back.
+            figures.fallen++;
+            dies(f.backend, true);
+            back(f, Outcome.CONNECT_FAILED);
+        } else if (backend.isFull()) {
+            back(f, Outcome.FULL);
+        } else if (errs) {
+            back(f, Outcome.ERROR);
+        } else {
+            its.job = backend.take(its.work, ran -> back(f, ran ? Outcome.DELIVERED : Outcome.RESET));
+        }
+    }
+
+    private void back(Forward f, Outcome outcome) {
+        agenda.in(day.way(), () -> ended(f, outcome));
+    }
+
+    private void ended(Forward f, Outcome outcome) {
+        Out its = out.remove(f);
+        if (its == null) {
+            return;
+        }
+        its.timeOut.strike();
+        referee.ended(f, outcome, agenda.now());
+        boolean wins = outcome == Outcome.DELIVERED && !f.exchange.over;
+        if (wins) {
+            answered(its.proxy, f.exchange, true, false, 0);
+        }
+        double[] report = outcome == Outcome.DELIVERED || outcome == Outcome.ERROR ? report(f.backend) : null;
+        carryOut(its.proxy, proxies[its.proxy].ended(agenda.now(), f, outcome, agenda.now() - f.sent,
+                wins || f.exchange.over, report));
+        forgetIfDone(f.exchange);
+    }
+
+    /** A cancel drops what waits; what runs goes on to its end for nobody. */
+    private void cancel(int proxy, Forward f) {
+        Out its = out.get(f);
+        if (its != null) {
+            if (its.job != null) {
+                backends[f.backend].drop(its.job);
+            }
+            agenda.in(0, () -> ended(f, Outcome.CANCELLED));
+        }
+    }
+
+    private double[] report(int i) {
+        double[] report = new double[3];
+        if (settings.reports().utilisation() >= 0) {
+            report[settings.reports().utilisation()] = backends[i].utilisation();
+        }
+        if (settings.reports().held() >= 0) {
+            report[settings.reports().held()] = backends[i].queued();
+        }
+        return report;
+    }
+
+    private void probe(int proxy, int i) {
+        figures.probes++;
+        agenda.in(2 * day.way(), () -> {
+            boolean answers = backends[i].isUp() && backends[i].silent == 0;
+            carryOut(proxy, proxies[proxy].probed(agenda.now(), i,
+                    answers ? Outcome.DELIVERED : Outcome.CONNECT_FAILED, answers ? report(i) : null));
+        });
+    }
+
+    // Discovery.
+
+    private Listed line(int i, Listed.State state) {
+        return new Listed(i, false, location[i], i, state, startTold[i]);
+    }
+
+    /** Tells all proxies of a backend, late, and later still while discovery says nothing. */
+    private void tells(int i, Listed.State state) {
+        double started = startTold[i];
+        for (int p = 0; p < proxies.length; p++) {
+            int proxy = p;
+            double at = Math.max(agenda.now(), silentUntil) + day.delay() * (0.5 + chance.nextDouble());
+            agenda.at(at, () -> {
+                referee.told(proxy, i, state == Listed.State.READY, agenda.now());
+                carryOut(proxy, proxies[proxy].listed(agenda.now(), false,
+                        List.of(new Listed(i, false, location[i], i, state, started))));
+            });
+        }
+    }
+
+    private void restarts(int i) {
+        backends[i].restarts();
+        startTold[i] = agenda.now();
+        referee.started(i, agenda.now());
+        tells(i, Listed.State.READY);
+    }
+
+    // Troubles.
+
+    private int[] fallsOn(Trouble trouble) {
+        int[] all = new int[backends.length];
+        Arrays.setAll(all, i -> i);
+        for (int i = all.length - 1; i > 0; i--) {
+            int j = chance.nextInt(i + 1), other = all[i];
+            all[i] = all[j];
+            all[j] = other;
+        }
+        int many = (int) Math.max(1, trouble.share() * all.length + 0.5);
+        return Arrays.copyOf(all, Math.min(all.length, many));
+    }
+
+    private void begins(Trouble trouble) {
+        double end = trouble.lasts();
+        switch (trouble.kind()) {
+            case BURST -> {
+                traffic *= trouble.strength();
+                agenda.in(end, () -> traffic /= trouble.strength());
+            }
+            case HEAVY -> {
+                heavy *= trouble.strength();
+                agenda.in(end, () -> heavy /= trouble.strength());
+            }
+            case SILENCE -> silentUntil = Math.max(silentUntil, agenda.now() + end);
+            case DEPLOY -> {
+                int[] all = fallsOn(trouble);
+                for (int k = 0; k < all.length; k++) {
+                    int i = all[k];
+                    agenda.in(end * k / all.length, () -> replace(i, end / all.length));
+                }
+            }
+            default -> {
+                for (int i : fallsOn(trouble)) {
+                    begins(trouble, i, backends[i]);
+                }
+            }
+        }
+    }
+
+    private void begins(Trouble trouble, int i, Backend backend) {
+        switch (trouble.kind()) {
+            case CRASH -> {
+                dies(i, true);
+                agenda.in(trouble.lasts(), () -> comesBack(i));
+            }
+            case VANISH -> {
+                backend.silent++;
+                dies(i, false);
+                agenda.in(trouble.lasts(), () -> {
+                    backend.silent--;
+                    comesBack(i);
+                });
+            }
+            case STALL -> backend.stall(agenda.now() + trouble.lasts());
+            case SLOW -> {
+                backend.slow *= trouble.strength();
+                agenda.in(trouble.lasts(), () -> backend.slow /= trouble.strength());
+            }
+            case ERRORS -> {
+                backend.errors += trouble.strength();
+                agenda.in(trouble.lasts(), () -> backend.errors -= trouble.strength());
+            }
+            case GRADE -> {
+                backend.gradeErrors += trouble.strength();
+                agenda.in(trouble.lasts(), () -> backend.gradeErrors -= trouble.strength());
+            }
+            default -> throw new IllegalStateException(trouble.kind() + " falls on no backend");
+        }
+    }
+
+    private void dies(int i, boolean tells) {
+        if (backends[i].dead++ == 0) {
+            backends[i].dies(tells);
+            tells(i, Listed.State.GONE);
+        }
+    }
+
+    /** Two troubles that hold it down may end at the same instant: it comes back with the last of them. */
+    private void comesBack(int i) {
+        if (--backends[i].dead == 0) {
+            restarts(i);
+        }
+    }
+
+    private void replace(int i, double within) {
+        tells(i, Listed.State.DRAINING);
+        agenda.in(Math.min(within, 2 * day.delay() + 1), () -> {
+            dies(i, true);
+            agenda.in(0.1, () -> comesBack(i));
+        });
+    }
+}
--- a/src/test/java/lemondrift/door/DoorTest.java
+++ b/src/test/java/lemondrift/door/DoorTest.java
@@ -181,6 +181,9 @@
         long few = street.clients.values().stream().filter(client -> client.address >= 100_000).count();
         assertTrue(street.clients.size() <= 1000);
         assertTrue(few <= 10 * 17, "no more than what they brought gives weight to: " + few);
+        for (int i = 0; i < 3000; i++) {
+            street.leaves(street.comes(1_000_000 + i));
+        }
         assertTrue(street.door.remembered() <= 2 * street.bounds.last(), "memory for sources is bounded");
     }
 
@@ -219,7 +222,7 @@
         Street street = new Street(Street.bounds(20, EACH));
         int i = street.comes();
         double began = street.now;
-        while (street.clients.containsKey(i)) {
+        for (int k = 0; k < 50 && street.clients.containsKey(i); k++) {
             street.says(i, 1);
             street.passes(0.09);
         }
@@ -329,10 +332,10 @@
         street.asks(i);
         assertEquals(2, street.door.promise(i));
         for (int k = 0; k < 9; k++) {
-            street.comes();
+            street.opens(street.comes(), 0);
         }
         street.passes(1.9);
-        assertTrue(street.clients.containsKey(i), "the crowd passes it by");
+        assertTrue(street.clients.containsKey(i), "the crowd passes it by, though no other can give way");
     }
 
     @Test
