--- a/src/main/java/lemondrift/Main.java
+++ b/src/main/java/lemondrift/Main.java
@@ -1,9 +1,10 @@
 package lemondrift;
 
+import lemondrift.cli.Lemondrift;
 import lemondrift.drill.Drill;
 import lemondrift.serve.Serve;
 
-/** Subcommands; each protocol that can stand before the decisions gets one. */
+/** Dispatches serve, check and drill at once: a proxy starts without the library of the other commands. */
 public final class Main {
     private Main() {}
 
@@ -18,11 +19,7 @@
             }
             case "check" -> System.exit(Serve.check(System.getenv(), System.err));
             case "drill" -> System.exit(Drill.run(System.in, System.out, System.err));
-            default -> {
-                System.err.println("usage: lemondrift serve | check | drill"
-                        + "   (the real proxy; its configuration; the users' bench)");
-                System.exit(2);
-            }
+            default -> System.exit(Lemondrift.run(args));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/lemondrift/cli/Lab.java
@@ -0,0 +1,136 @@
+package lemondrift.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import lemondrift.lab.Experiment;
+import lemondrift.lab.ExperimentFile;
+import lemondrift.lab.Paired;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ParentCommand;
+import picocli.CommandLine.Spec;
+
+/** Experiments in virtual time. */
+@Command(name = "lab", description = "Experiments on the decisions, in virtual time.",
+        mixinStandardHelpOptions = true, subcommands = {Lab.Run.class, Lab.Listing.class, Lab.Compare.class})
+final class Lab {
+    @Spec
+    CommandSpec spec;
+
+    PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    /** Plays experiments and prints a table of each. */
+    @Command(name = "run",
+            description = "Plays experiments; fails where a rule broke or an expectation does not hold.",
+            mixinStandardHelpOptions = true)
+    static final class Run implements Callable<Integer> {
+        @ParentCommand
+        Lab lab;
+
+        @Parameters(arity = "1..*", paramLabel = "FILE", description = "experiments, in TOML")
+        List<Path> files;
+
+        @Override
+        public Integer call() throws IOException {
+            boolean failed = false;
+            for (Path file : files) {
+                Experiment experiment = ExperimentFile.read(file);
+                List<Experiment.Run> runs = experiment.play();
+                lab.out().println(experiment.name() + ": " + experiment.about());
+                runs.forEach(run -> lab.out().printf(Locale.ROOT, "  %-18s seed %-4d %s%s%n", run.policy(),
+                        run.seed(), run.figures(), run.broken() == null ? "" : "  RULE BROKEN"));
+                for (Experiment.Run run : runs) {
+                    if (run.broken() != null) {
+                        failed = true;
+                        lab.out().println(run.broken());
+                    }
+                }
+                failed |= missed(experiment, runs);
+                lab.out().flush();
+            }
+            return failed ? Lemondrift.FAILED : Lemondrift.DONE;
+        }
+
+        private boolean missed(Experiment experiment, List<Experiment.Run> runs) {
+            boolean missed = false;
+            for (Experiment.Expectation each : experiment.expects()) {
+                for (Experiment.Run run : runs) {
+                    if (run.policy().equals(Experiment.MODULE) && !each.holds(run.figures())) {
+                        missed = true;
+                        lab.out().printf(Locale.ROOT, "  not met: %s (%.4f, seed %d)%n", each,
+                                Experiment.value(each.figure(), run.figures()), run.seed());
+                    }
+                }
+            }
+            return missed;
+        }
+    }
+
+    /** Lists the experiments of a folder. */
+    @Command(name = "list", description = "Lists the experiments of a folder.",
+            mixinStandardHelpOptions = true)
+    static final class Listing implements Callable<Integer> {
+        @ParentCommand
+        Lab lab;
+
+        @Parameters(arity = "0..1", paramLabel = "FOLDER", defaultValue = "lab/experiments")
+        Path folder;
+
+        @Override
+        public Integer call() throws IOException {
+            for (Path file : ExperimentFile.in(folder)) {
+                Experiment experiment = ExperimentFile.read(file);
+                lab.out().printf("%-26s %s%n", experiment.name(), experiment.about());
+            }
+            lab.out().flush();
+            return Lemondrift.DONE;
+        }
+    }
+
+    /** Holds the module against each other policy of an experiment, paired by seed. */
+    @Command(name = "compare",
+            description = "The module's service less each policy's, by seed, with intervals.",
+            mixinStandardHelpOptions = true)
+    static final class Compare implements Callable<Integer> {
+        @ParentCommand
+        Lab lab;
+
+        @Parameters(arity = "1..*", paramLabel = "FILE", description = "experiments, in TOML")
+        List<Path> files;
+
+        @Override
+        public Integer call() throws IOException {
+            boolean broken = false;
+            for (Path file : files) {
+                Experiment experiment = ExperimentFile.read(file);
+                List<Experiment.Run> runs = experiment.play();
+                broken |= runs.stream().anyMatch(run -> run.broken() != null);
+                double[] module = service(runs, Experiment.MODULE);
+                lab.out().printf(Locale.ROOT, "%s: module %.4f%n", experiment.name(),
+                        Arrays.stream(module).average().orElse(0));
+                for (String policy : experiment.policies()) {
+                    if (!policy.equals(Experiment.MODULE)) {
+                        Paired difference = Paired.of(module, service(runs, policy));
+                        lab.out().printf(Locale.ROOT, "  less %-18s %+.4f  [%+.4f, %+.4f]%n", policy,
+                                difference.mean(), difference.low(), difference.high());
+                    }
+                }
+                lab.out().flush();
+            }
+            return broken ? Lemondrift.FAILED : Lemondrift.DONE;
+        }
+
+        private static double[] service(List<Experiment.Run> runs, String policy) {
+            return runs.stream().filter(run -> run.policy().equals(policy))
+                    .mapToDouble(run -> run.figures().service()).toArray();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -0,0 +1,126 @@
+package lemondrift.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import lemondrift.lab.world.Day;
+import lemondrift.lab.world.Figures;
+import lemondrift.lab.world.Referee;
+import lemondrift.lab.world.Trouble;
+import lemondrift.lab.world.World;
+import lemondrift.model.Effect;
+import lemondrift.model.Group;
+import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+
+/**
+ * A world, its troubles, who decides in it, by which seeds, and what is expected of the module.
+ *
+ * @param name the file's name without its ending
+ * @param about one line on what it shows
+ * @param policies who decides, the module first
+ * @param seeds each policy plays one day for each
+ * @param expects what must hold of the module's every day
+ */
+public record Experiment(String name, String about, Day day, List<String> policies, List<Long> seeds,
+        List<Expectation> expects) {
+    /** The module's name among the policies. */
+    public static final String MODULE = "module";
+
+    /** Grades of the lab's own: a look, an order with a mark, and a booking that must never run twice. */
+    private static final List<ServiceGrade> GRADES = List.of(
+            new ServiceGrade(1, 0, 0.5, 1.2, Effect.PURE, Group.ALL, 0),
+            new ServiceGrade(3, 0, 0.5, 1.2, Effect.RECEIPTED, Group.LOCATION, 0.6),
+            new ServiceGrade(9, 0, 0.5, 1.2, Effect.EFFECTFUL, Group.ALL, 0));
+
+    /** One figure of a day held against a bound. */
+    public record Expectation(String figure, String sign, double bound) {
+        /** Whether it holds of a day. */
+        public boolean holds(Figures figures) {
+            double value = value(figure, figures);
+            return switch (sign) {
+                case ">=" -> value >= bound;
+                case "<=" -> value <= bound;
+                default -> value == bound;
+            };
+        }
+
+        @Override
+        public String toString() {
+            return figure + " " + sign + " " + bound;
+        }
+    }
+
+    /** One day that one policy played; broken is null where all rules were kept. */
+    public record Run(String policy, long seed, Figures figures, String broken) {}
+
+    /** The figures that an expectation may name. */
+    public static final List<String> FIGURES = List.of("service", "unanswered", "late", "shed", "scrapped",
+            "fallen", "forwards_per_exchange");
+
+    /** A figure of a day by its name. */
+    public static double value(String figure, Figures f) {
+        return switch (figure) {
+            case "service" -> f.service();
+            case "unanswered" -> f.unanswered;
+            case "late" -> f.late;
+            case "shed" -> f.shed;
+            case "scrapped" -> f.scrapped;
+            case "fallen" -> f.fallen;
+            case "forwards_per_exchange" -> (double) f.forwards / Math.max(1, f.taken);
+            default -> throw new IllegalArgumentException(figure);
+        };
+    }
+
+    /** The settings that the lab's proxies are told. */
+    public static Settings settings(int proxies) {
+        return new Settings(proxies, 2, 0, false, GRADES, new double[0], 1,
+                new Settings.Reports(true, 0, 1, -1), new Settings.Limits(true, true, 4, 0.5),
+                new Settings.Rules(0.3, 6, 3, 2, 10), new Settings.Charges(0.01, 0.002));
+    }
+
+    /** Plays each policy's day for each seed, one after the other. */
+    public List<Run> play() {
+        List<Run> runs = new ArrayList<>();
+        for (String policy : policies) {
+            for (long seed : seeds) {
+                runs.add(play(policy, seed));
+            }
+        }
+        return runs;
+    }
+
+    /** The same day but for the seed. */
+    private Day day(long seed) {
+        return new Day(day.settings(), day.proxies(), day.backends(), day.cores(), day.rate(), day.work(),
+                day.spread(), day.tries(), day.way(), day.delay(), day.grace(), day.lasts(), seed,
+                day.troubles());
+    }
+
+    private Run play(String policy, long seed) {
+        Day its = day(seed);
+        World[] world = {null};
+        if (policy.equals(MODULE)) {
+            world[0] = new World(its, p -> new Module(its.settings(), seed * 1000 + p));
+        } else {
+            Baseline.Kind kind = Baseline.Kind.valueOf(policy.toUpperCase(Locale.ROOT));
+            world[0] = new World(its, 3, p -> new Baseline(kind, its.settings(), seed * 1000 + p,
+                    i -> world[0].trueLoad(i)));
+        }
+        try {
+            return new Run(policy, seed, world[0].play(), null);
+        } catch (Referee.Broken e) {
+            return new Run(policy, seed, world[0].figures(), e.getMessage());
+        }
+    }
+
+    /** A trouble's kind by its name in a file, null if there is none. */
+    static Trouble.Kind kind(String name) {
+        for (Trouble.Kind kind : Trouble.Kind.values()) {
+            if (kind.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return kind;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/test/java/lemondrift/cli/LemondriftTest.java
@@ -0,0 +1,30 @@
+package lemondrift.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Exit codes of the command line. */
+class LemondriftTest {
+    @Test
+    void exitCodesTellWhatCameOfIt(@TempDir Path folder) throws Exception {
+        String world = "[world]\nproxies = 1\nbackends = 2\nlasts = \"1s\"\n";
+        Path good = Files.writeString(folder.resolve("good.toml"),
+                "expect = [\"unanswered == 0\"]\n" + world);
+        Path missed = Files.writeString(folder.resolve("missed.toml"),
+                "expect = [\"service >= 2\"]\n" + world);
+        assertEquals(0, Lemondrift.run("lab", "run", good.toString()));
+        assertEquals(1, Lemondrift.run("lab", "run", good.toString(), missed.toString()));
+        assertEquals(0, Lemondrift.run("lab", "list", folder.toString()));
+        assertEquals(0, Lemondrift.run("lab", "compare", good.toString()));
+        Path bad = Files.writeString(folder.resolve("bad.toml"), "[wordl]\n");
+        assertEquals(2, Lemondrift.run("lab", "run", bad.toString()));
+        assertEquals(2, Lemondrift.run("lab", "run", folder.resolve("none.toml").toString()));
+        assertEquals(2, Lemondrift.run("lab", "play"));
+        assertEquals(2, Lemondrift.run());
+        assertEquals(0, Lemondrift.run("--version"));
+    }
+}
--- /dev/null
+++ b/src/test/java/lemondrift/lab/ExperimentTest.java
@@ -0,0 +1,79 @@
+package lemondrift.lab;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import lemondrift.settings.BadInput;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Experiments as files, and what is made of their runs. */
+class ExperimentTest {
+    private static final String GOOD = """
+            about = "a small one"
+            policies = ["random"]
+            seeds = [1, 2]
+            expect = ["service >= 0.5", "unanswered == 0"]
+
+            [world]
+            proxies = 2
+            backends = 4
+            lasts = "3s"
+
+            [[trouble]]
+            kind = "slow"
+            at = "1s"
+            lasts = "500ms"
+            share = "50%"
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private Experiment read(String text) throws Exception {
+        return ExperimentFile.read(Files.writeString(folder.resolve("one.toml"), text));
+    }
+
+    @Test
+    void whatAFileSaysIsPlayed() throws Exception {
+        Experiment experiment = read(GOOD);
+        assertEquals(List.of("module", "random"), experiment.policies());
+        assertEquals(0.5, experiment.day().troubles().get(0).lasts());
+        List<Experiment.Run> runs = experiment.play();
+        assertEquals(4, runs.size());
+        assertEquals(runs.toString(), experiment.play().toString(), "the same each time");
+        runs.forEach(run -> assertNull(run.broken()));
+        assertTrue(experiment.expects().get(1).holds(runs.get(0).figures()));
+        assertFalse(new Experiment.Expectation("service", ">=", 1.1).holds(runs.get(0).figures()));
+    }
+
+    @Test
+    void whatCannotBeUsedNamesFileLineAndKey() {
+        Map<String, String> bad = Map.of(GOOD.replace("proxies = 2", "proxis = 2"), ":7: proxis",
+                GOOD.replace("\"3s\"", "3"), ":9: lasts", GOOD.replace("\"3s\"", "\"3 hours\""), ":9: lasts",
+                GOOD.replace("\"slow\"", "\"slwo\""), ":12: kind",
+                GOOD.replace("\"50%\"", "\"150%\""), ":15: share",
+                GOOD.replace("backends = 4", "backends = -4"), ":8: backends",
+                GOOD.replace("service >= 0.5", "servise >= 0.5"), ":4: expect",
+                GOOD.replace("\"random\"", "\"rnadom\""), ":2: policies",
+                GOOD.replace("seeds = [1, 2]", "seeds = [1, 2"), ":4: ", GOOD.replace("\"500ms\"", "\"0s\""),
+                ":14: lasts");
+        bad.forEach((text, where) -> {
+            BadInput refused = assertThrows(BadInput.class, () -> read(text), text);
+            assertTrue(refused.getMessage().contains("one.toml" + where), refused.getMessage());
+            assertEquals(1, refused.getMessage().lines().count());
+        });
+    }
+
+    @Test
+    void pairsTellADifferenceFromChance() {
+        Paired same = Paired.of(new double[] {1, 2, 3, 4}, new double[] {1.1, 1.9, 3.1, 3.9});
+        assertTrue(same.low() < 0 && same.high() > 0, same.toString());
+        Paired better = Paired.of(new double[] {1, 2, 3, 4}, new double[] {0.8, 1.7, 2.9, 3.6});
+        assertEquals(0.25, better.mean(), 1e-9);
+        assertTrue(better.low() > 0, better.toString());
+    }
+}
