--- a/src/main/java/lemondrift/lab/world/Trouble.java
+++ b/src/main/java/lemondrift/lab/world/Trouble.java
@@ -22,7 +22,7 @@
         SLOW,
         /** A share of what they get is answered with an error at once. */
         ERRORS,
-        /** The same for the first grade alone. */
+        /** The same for the last grade alone. */
         GRADE,
         /** They are replaced one after another within the time, each drained first, successors cold. */
         DEPLOY,
--- a/src/main/java/lemondrift/lab/world/World.java
+++ b/src/main/java/lemondrift/lab/world/World.java
@@ -228,8 +228,8 @@
         if (!out.containsKey(f) || backend.silent > 0) {
             return;
         }
-        boolean errs = chance.nextDouble() < Math.max(backend.errors, f.exchange.grade == 0
-                ? backend.gradeErrors : 0);
+        boolean errs = chance.nextDouble() < Math.max(backend.errors,
+                f.exchange.grade == settings.grades().size() - 1 ? backend.gradeErrors : 0);
         if (!backend.isUp()) {
             back(f, Outcome.CONNECT_FAILED);
         } else if (backend.fallsOver(its.work)) {
