Lab reports as JSON; a missed figure tells when and where most was lost

Need: a failed expectation says which window and which backends lost the most. Also: a request that Undertow had read of a connection before the door closed it ends with that connection, not with an exception in the log.

--- a/src/main/java/lemondrift/cli/Lab.java
+++ b/src/main/java/lemondrift/cli/Lab.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -10,8 +11,10 @@
 import lemondrift.lab.Experiment;
 import lemondrift.lab.ExperimentFile;
 import lemondrift.lab.Paired;
+import lemondrift.lab.Report;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.ParentCommand;
 import picocli.CommandLine.Spec;
@@ -32,15 +35,23 @@
             description = "Plays experiments; fails where a rule broke or an expectation does not hold.",
             mixinStandardHelpOptions = true)
     static final class Run implements Callable<Integer> {
+        /** Seconds of the window that a figure which is not met is told with. */
+        private static final int WINDOW = 5;
+
         @ParentCommand
         Lab lab;
 
         @Parameters(arity = "1..*", paramLabel = "FILE", description = "experiments, in TOML")
         List<Path> files;
 
+        @Option(names = "--json", paramLabel = "FILE",
+                description = "all figures, also second by second, as JSON")
+        Path json;
+
         @Override
         public Integer call() throws IOException {
             boolean failed = false;
+            List<Report> reports = new ArrayList<>();
             for (Path file : files) {
                 Experiment experiment = ExperimentFile.read(file);
                 List<Experiment.Run> runs = experiment.play();
@@ -55,6 +66,11 @@
                 }
                 failed |= missed(experiment, runs);
                 lab.out().flush();
+                reports.add(new Report(experiment.name(), experiment.about(), experiment.day().troubles(),
+                        runs));
+            }
+            if (json != null) {
+                Report.write(reports, json);
             }
             return failed ? Lemondrift.FAILED : Lemondrift.DONE;
         }
@@ -65,8 +81,11 @@
                 for (Experiment.Run run : runs) {
                     if (run.policy().equals(Experiment.MODULE) && !each.holds(run.figures())) {
                         missed = true;
-                        lab.out().printf(Locale.ROOT, "  not met: %s (%.4f, seed %d)%n", each,
-                                Experiment.value(each.figure(), run.figures()), run.seed());
+                        int from = run.figures().worstWindow(WINDOW);
+                        lab.out().printf(Locale.ROOT, "  not met: %s (%.4f, seed %d); most is lost from "
+                                + "%d to %d s, most forwards fail at backends %s%n", each,
+                                Experiment.value(each.figure(), run.figures()), run.seed(), from,
+                                from + WINDOW, run.figures().worstBackends(3));
                     }
                 }
             }
--- a/src/main/java/lemondrift/lab/world/World.java
+++ b/src/main/java/lemondrift/lab/world/World.java
@@ -24,12 +24,13 @@
 
     /** What a client wants: it asks until it has it, or has asked often enough. */
     private static final class Want {
-        final int grade;
+        final int grade, second;
         final double until;
         int tries;
 
-        Want(int grade, double until) {
+        Want(int grade, int second, double until) {
             this.grade = grade;
+            this.second = second;
             this.until = until;
         }
     }
@@ -59,7 +60,7 @@
     private final Decider[] proxies;
     private final Agenda.Entry[] wakes;
     private final Referee referee;
-    private final Figures figures = new Figures();
+    private final Figures figures;
     private final Map<Exchange, Want> wants = new HashMap<>();
     private final Map<Exchange, Agenda.Entry> expiries = new HashMap<>();
     private final Map<Forward, Out> out = new HashMap<>();
@@ -75,6 +76,7 @@
     public World(Day day, int rules, IntFunction<Decider> deciders) {
         this.day = day;
         settings = day.settings();
+        figures = new Figures(day);
         chance = RandomSource.XO_RO_SHI_RO_128_PP.create(day.seed());
         gaps = ZigguratSampler.Exponential.of(chance);
         bell = ZigguratSampler.NormalizedGaussian.of(chance);
@@ -136,7 +138,8 @@
         int grade = chance.nextInt(settings.grades().size());
         ServiceGrade its = settings.grades().get(grade);
         figures.wanted += its.benefit();
-        asks(new Want(grade, agenda.now() + its.contractTime()));
+        figures.wantedIn[(int) agenda.now()] += its.benefit();
+        asks(new Want(grade, (int) agenda.now(), agenda.now() + its.contractTime()));
         agenda.in(gaps.sample() / (day.rate() * traffic), this::comes);
     }
 
@@ -169,7 +172,9 @@
         if (delivered) {
             figures.delivered++;
             boolean inTime = agenda.now() <= want.until;
-            figures.served += inTime ? its.benefit() : its.lateBenefit();
+            double brought = inTime ? its.benefit() : its.lateBenefit();
+            figures.served += brought;
+            figures.servedIn[want.second] += brought;
             figures.late += inTime ? 0 : 1;
         } else {
             figures.shed += shed ? 1 : 0;
@@ -258,6 +263,7 @@
         its.timeOut.strike();
         referee.ended(f, outcome, agenda.now());
         boolean wins = outcome == Outcome.DELIVERED && !f.exchange.over;
+        figures.failedAt[f.backend] += outcome == Outcome.DELIVERED || outcome == Outcome.CANCELLED ? 0 : 1;
         if (wins) {
             answered(its.proxy, f.exchange, true, false, 0);
         }
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -99,9 +99,7 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
-    /**
-     * From now on every answer closes its connection, those without a word go by then; new ones are taken.
-     */
+    /** From now on answers close their connections, those without a word go by then; new ones are taken. */
     void drain(double until) {
         draining = true;
         worker.getIoThread().execute(() -> visitors.drain(until));
@@ -118,6 +116,11 @@
 
     private void handle(HttpServerExchange client) {
         Visitors.Visitor visitor = visitors.of(channel(client));
+        if (visitor == null) {
+            // Danger: what Undertow had read of a connection before the door closed it is still handed on.
+            IoUtils.safeClose(channel(client));
+            return;
+        }
         visitor.headRead();
         client.putAttachment(VISITOR, visitor);
         client.addExchangeCompleteListener((done, next) -> {
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -78,8 +78,8 @@
         }
 
         private StreamSinkConduit watching() {
-            return new AbstractStreamSinkConduit<StreamSinkConduit>(connection.getSinkChannel().getConduit())
-                    {
+            StreamSinkConduit sink = connection.getSinkChannel().getConduit();
+            return new AbstractStreamSinkConduit<StreamSinkConduit>(sink) {
                 @Override
                 public int write(ByteBuffer from) throws IOException {
                     return fetched(next.write(from));
--- a/src/test/java/lemondrift/cli/LemondriftTest.java
+++ b/src/test/java/lemondrift/cli/LemondriftTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -18,6 +20,14 @@
                 "expect = [\"service >= 2\"]\n" + world);
         assertEquals(0, Lemondrift.run("lab", "run", good.toString()));
         assertEquals(1, Lemondrift.run("lab", "run", good.toString(), missed.toString()));
+        Path json = folder.resolve("report.json");
+        assertEquals(0, Lemondrift.run("lab", "run", "--json", json.toString(), good.toString()));
+        JsonNode run = new ObjectMapper().readTree(json.toFile()).get(0).get("runs").get(0);
+        double wanted = 0;
+        for (JsonNode second : run.get("figures").get("wantedIn")) {
+            wanted += second.asDouble();
+        }
+        assertEquals(run.get("figures").get("wanted").asDouble(), wanted, 1e-9);
         assertEquals(0, Lemondrift.run("lab", "list", folder.toString()));
         assertEquals(0, Lemondrift.run("lab", "compare", good.toString()));
         Path bad = Files.writeString(folder.resolve("bad.toml"), "[wordl]\n");
--- a/src/test/java/lemondrift/lab/world/WorldTest.java
+++ b/src/test/java/lemondrift/lab/world/WorldTest.java
@@ -66,6 +66,19 @@
         assertEquals(0, Days.play(Days.of(3, 6, seed, troubles)).unanswered);
     }
 
+    @Test
+    void theFiguresTellWhenAndWhereMostIsLost() {
+        Figures figures = Days.play(Days.of(2, 4, 1, new Trouble(Kind.CRASH, 8, 3, 1, 1)));
+        int worst = figures.worstWindow(3);
+        assertTrue(worst >= 7 && worst <= 9, "from " + worst);
+        double lost = 0;
+        for (int s = 0; s < figures.wantedIn.length; s++) {
+            lost += figures.wantedIn[s] - figures.servedIn[s];
+        }
+        assertEquals(figures.wanted - figures.served, lost, 1e-6);
+        assertEquals(2, figures.worstBackends(2).size());
+    }
+
     @Test
     void whereEveryBackendIsGoneAllIsAnsweredAtOnce() {
         Figures none = Days.play(Days.of(2, 0, 1));
