--- a/src/main/java/lemondrift/cli/Lab.java
+++ b/src/main/java/lemondrift/cli/Lab.java
@@ -21,7 +21,8 @@
 
 /** Experiments in virtual time. */
 @Command(name = "lab", description = "Experiments on the decisions, in virtual time.",
-        mixinStandardHelpOptions = true, subcommands = {Lab.Run.class, Lab.Listing.class, Lab.Compare.class})
+        mixinStandardHelpOptions = true, subcommands = {Lab.Run.class, Lab.Listing.class, Lab.Compare.class,
+            LoadCommand.class})
 final class Lab {
     @Spec
     CommandSpec spec;
--- /dev/null
+++ b/src/test/java/lemondrift/lab/load/LoadTest.java
@@ -0,0 +1,94 @@
+package lemondrift.lab.load;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import lemondrift.settings.BadInput;
+import org.junit.jupiter.api.Test;
+
+/** The load against a bare stand-in that answers after a known delay. */
+class LoadTest {
+    private static InetSocketAddress answering(String status, int delay) throws IOException {
+        ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                daemon(() -> {
+                    byte[] buffer = new byte[4096];
+                    while (socket.getInputStream().read(buffer) > 0) {
+                        Thread.sleep(delay);
+                        String answer = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok";
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                    }
+                });
+            }
+        });
+        return new InetSocketAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception e) {
+                // The other side is closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static Load.Result play(InetSocketAddress to, double rate, int connections) throws Exception {
+        return Load.play(new Load.Plan(to, rate, 1, 0.2, connections, "look", 5));
+    }
+
+    @Test
+    void latencyIsCountedAndWarmUpLeftOut() throws Exception {
+        Load.Result result = play(answering("200 OK", 20), 100, 32);
+        assertEquals(100, result.sent());
+        assertEquals(100, result.delivered());
+        assertTrue(result.latency().getMinValue() >= 20_000 * 0.98, result.toString());
+    }
+
+    @Test
+    void oneThatFallsBehindSaysSoAndCountsTheWait() throws Exception {
+        // Two connections at 50 ms each can send 40 a second; 200 are asked for.
+        Load.Result result = play(answering("200 OK", 50), 200, 2);
+        assertFalse(result.keptUp());
+        assertTrue(result.toString().contains("BEHIND"), result.toString());
+        assertTrue(result.latency().getMaxValue() > 1_000_000, "from when it should have been sent");
+    }
+
+    @Test
+    void shedAndFailedAreToldApart() throws Exception {
+        assertEquals(100, play(answering("503 Shed", 0), 100, 8).shed());
+        assertEquals(100, play(answering("502 Scrapped", 0), 100, 8).failed());
+        int port;
+        try (ServerSocket closed = new ServerSocket(0)) {
+            port = closed.getLocalPort();
+        }
+        assertEquals(100, play(new InetSocketAddress("127.0.0.1", port), 100, 8).failed());
+    }
+
+    private static void refused(InetSocketAddress to, double rate) {
+        assertThrows(BadInput.class, () -> new Load.Plan(to, rate, 1, 0, 1, "look", 1));
+    }
+
+    @Test
+    void onlyLoopbackIsSentTo() {
+        for (String other : new String[] {"10.0.0.1", "192.168.1.1", "8.8.8.8"}) {
+            refused(new InetSocketAddress(other, 80), 1);
+        }
+        refused(InetSocketAddress.createUnresolved("localhost", 80), 1);
+        refused(new InetSocketAddress("127.0.0.1", 80), 0);
+    }
+}
