--- a/src/test/java/lemondrift/serve/DoorLoad.java
+++ b/src/test/java/lemondrift/serve/DoorLoad.java
@@ -205,6 +205,23 @@
         }
     }
 
+    /** So many requests at once, each on a connection of its own; all are answered. */
+    private static void burst(int port, int many) throws IOException {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            sockets.add(new Socket("127.0.0.1", port));
+        }
+        for (Socket each : sockets) {
+            write(each, look("b" + System.nanoTime()));
+        }
+        for (Socket each : sockets) {
+            if (read(each) == null) {
+                System.out.println("not answered");
+            }
+            each.close();
+        }
+    }
+
     public static void main(String[] jars) throws Exception {
         int backend = answering(head -> "body");
         List<Build> builds = new ArrayList<>();
@@ -224,11 +241,13 @@
                 }
             }
         }
-        List<String> names = List.of("connects without a word", "malformed", "no id", "asks once");
+        List<String> names = List.of("connects without a word", "malformed", "no id", "asks once",
+                "at once, 250 a time");
         List<Event> events = List.of((port, i) -> new Socket("127.0.0.1", port).close(),
                 (port, i) -> once(port, "\u0001noise\r\n\r\n", true),
                 (port, i) -> once(port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", true),
-                (port, i) -> once(port, look("f" + port + "-" + System.nanoTime()), true));
+                (port, i) -> once(port, look("f" + port + "-" + System.nanoTime()), true),
+                (port, i) -> burst(port, i % 250 == 0 ? 250 : 0));
         for (int kind = 0; kind < events.size(); kind++) {
             for (int turn = 0; turn < 2; turn++) {
                 for (int b = 0; b < builds.size(); b++) {
