--- a/src/test/java/lemondrift/serve/DoorTest.java
+++ b/src/test/java/lemondrift/serve/DoorTest.java
@@ -119,6 +119,22 @@
         writer.join();
     }
 
+    @Test
+    void whatIsPromisedStandsInTheAnswer() throws Exception {
+        changed = config -> {
+            Bounds usual = config.door();
+            return config.with(new Bounds(usual.places(), usual.last(), 5, 4, usual.sharing(), true,
+                    usual.leastRate(), usual.benefit()));
+        };
+        start(backend(OK));
+        Socket client = connect(0);
+        for (int i = 0; i < 2; i++) {
+            say(client, look(i));
+            String answer = read(client);
+            assertTrue(answer.contains("\r\nKeep-Alive: timeout=5\r\n"), answer);
+        }
+    }
+
     @Test
     void answersThatAreNotFetchedHoldNobodyUp() throws Exception {
         start(backend(http("x".repeat(64 * 1024))));
--- a/src/test/java/lemondrift/serve/Loopback.java
+++ b/src/test/java/lemondrift/serve/Loopback.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 
@@ -34,6 +35,8 @@
     final LinkedBlockingQueue<String> news = new LinkedBlockingQueue<>();
     final HttpClient http = HttpClient.newHttpClient();
     String lists = "pushed";
+    /** What a test changes of the configuration. */
+    UnaryOperator<Config> changed = config -> config;
     StandIn discovery;
     Proxy proxy;
 
@@ -152,7 +155,7 @@
                 return CLOSE;
             }
         });
-        proxy = new Proxy(Config.read(config(discovery.port(), probes)));
+        proxy = new Proxy(changed.apply(Config.read(config(discovery.port(), probes))));
         proxy.serve();
         // The watch has begun, so the list has been told.
         awaitWatch("from=1");
