--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -41,7 +41,7 @@
         f.ended = true;
         f.exchange.out--;
         f.exchange.over |= over;
-        estimate.reported(f.backend, report, outcome == Outcome.DELIVERED, now);
+        estimate.reported(f.backend, report, outcome == Outcome.DELIVERED, true, now);
         return turn(now, () -> selection.ended(f, outcome, took, now, turn));
     }
 
@@ -64,7 +64,7 @@
 
     public Turn probeEnded(double now, int backend, Outcome outcome, double[] report) {
         selection.probed(backend);
-        return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, now));
+        return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, false, now));
     }
 
     /** A question that changes nothing: what would be shed of a service grade on arrival now. */
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -50,9 +50,14 @@
         rated = Arrays.copyOf(rated, fleet.size);
     }
 
-    /** A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. */
-    void reported(int i, double[] figures, boolean delivered, double now) {
-        double u = figure(figures, places.utilisation(), 0), held = figure(figures, places.held(), 0);
+    /**
+     * A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. Danger:
+     * one that comes with an answer was made while that exchange was held, so the idle would look busy.
+     */
+    void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
+        double u = figure(figures, places.utilisation(), 0);
+        double itself = places.countsAnswered() && answer && delivered ? 1 : 0;
+        double held = Math.max(0, figure(figures, places.held(), 0) - itself);
         if (figures == null || !(u + held >= 0)) {
             return;
         }
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -7,8 +7,11 @@
         List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, Reports reports, Limits limits,
         Rules rules, Charges charges) {
 
-    /** Load reports: where they come from, and at which place each figure stands (-1: not given). */
-    public record Reports(boolean inAnswers, int utilisation, int held, int rate) {}
+    /**
+     * Load reports: where they come from, and at which place each figure stands (-1: not given). Where the
+     * exchanges held are all those in work, an answer's report still counts the one that it answers.
+     */
+    public record Reports(boolean inAnswers, int utilisation, int held, boolean countsAnswered, int rate) {}
 
     public record Limits(boolean cancel, boolean probes, int forwards,
             double retryAfter) {}
--- a/src/main/java/lemondrift/settings/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -57,8 +57,9 @@
 
     private Settings.Reports reports() {
         List<String> names = list("report.names");
+        boolean all = names.contains("inflight");
         return new Settings.Reports(text("report.how", "off").equals("inline"), names.indexOf("util"),
-                names.indexOf(names.contains("inflight") ? "inflight" : "queue"), names.indexOf("qps"));
+                names.indexOf(all ? "inflight" : "queue"), all, names.indexOf("qps"));
     }
 
     /** The values of a list, which are joined by commas. */
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -52,6 +52,18 @@
         assertEquals(0, w.arrive(ONCE).backend);
     }
 
+    @Test
+    void anAnswersReportDoesNotCountTheExchangeItAnswers() {
+        World w = new World(World.settings(14, false, new Settings.Reports(true, 0, 1, true, -1), false), 7);
+        w.list(true, false, World.lines(2));
+        Forward first = w.arrive(ONCE), second = w.arrive(ONCE);
+        w.now += 0.1;
+        w.end(first, Outcome.DELIVERED, 0.5, 1);
+        w.end(second, Outcome.DELIVERED, 0.4, 2);
+        assertEquals(0, w.balancer.word(w.now, ONCE).retryAfter(), "an idle fleet sheds nothing");
+        assertEquals(first.backend, w.arrive(ONCE).backend, "idle, though its report says one");
+    }
+
     @Test
     void exchangesHeldSeparateWhereUtilisationsSaturate() {
         World w = World.of(2).load(0.9, 1);
--- a/src/test/java/lemondrift/World.java
+++ b/src/test/java/lemondrift/World.java
@@ -17,8 +17,8 @@
     static final ServiceGrade MARKED = new ServiceGrade(4, 0, 1, 2, Effect.RECEIPTED, Group.LOCATION, 0.5);
     static final ServiceGrade ONCE = new ServiceGrade(8, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0);
     static final ServiceGrade CELLS = new ServiceGrade(2, 0, 1, 2, Effect.RECEIPTED, Group.CELL, 0.8);
-    static final Settings.Reports ANSWERS = new Settings.Reports(true, 0, 1, -1);
-    static final Settings.Reports PROBES = new Settings.Reports(false, 0, -1, -1);
+    static final Settings.Reports ANSWERS = new Settings.Reports(true, 0, 1, false, -1);
+    static final Settings.Reports PROBES = new Settings.Reports(false, 0, -1, false, -1);
     static final Settings.Rules RULES = new Settings.Rules(0.25, 8, 3, 2, 10);
 
     final Balancer balancer;
