--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -51,7 +51,7 @@
     }
 
     /**
-     * A report overwrites the estimate and clears the sends; exchanges that wait add their work to it. Danger:
+     * A report overwrites the estimate and clears the sends; exchanges held add their work to it. Danger:
      * one that comes with an answer was made while that exchange was held, so the idle would look busy.
      */
     void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
