--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -10,16 +10,18 @@
     private static final int ODD = 4;
 
     private final ServiceGrade[] grades;
-    private final double[] longest, since;
-    private final boolean mayCancel;
+    /** The time left of a usual first try, by grade, and how many in a row had less. */
+    private final double[] usual, since;
+    private final boolean mayCancel, marked;
     final double longestRetryAfter;
     private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
 
     Expiry(Settings s) {
         grades = s.grades().toArray(new ServiceGrade[0]);
-        longest = new double[grades.length];
+        usual = new double[grades.length];
         since = new double[grades.length];
         mayCancel = s.limits().cancel();
+        marked = s.marksRetries();
         longestRetryAfter = s.limits().retryAfter();
     }
 
@@ -27,16 +29,29 @@
     void take(Exchange x, double now, Turn turn) {
         ServiceGrade grade = grades[x.grade];
         double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
+        // Danger: work done after the first try's time is lost, so a retry has less by what has passed.
         double left = x.expiry - now;
-        since[x.grade] = left < 0.99 * longest[x.grade] ? since[x.grade] + 1 : 0;
-        longest[x.grade] = since[x.grade] > ODD ? left : Math.max(longest[x.grade], left);
-        // Danger: a try with less time left than others is a retry; work done after the first's time is lost.
-        double age = left < 0.99 * longest[x.grade] ? Math.max(0, grade.expiry() - left) : 0;
+        boolean retry = marked ? x.retry && differs(left, usual[x.grade]) : isRetry(x.grade, left);
+        double age = retry ? Math.max(0, grade.expiry() - left) : 0;
+        usual[x.grade] = marked && !x.retry ? left : usual[x.grade];
         x.contract = Math.min(x.expiry, x.arrived + useful - age);
         open.add(x);
         again(x, now, turn);
     }
 
+    /** Clients may give a first try up sooner than the next, which then has more time left, not less. */
+    private static boolean differs(double left, double usual) {
+        return Math.abs(left - usual) > 0.01 * usual;
+    }
+
+    /** Where clients do not mark their retries, a try with less time left than others is taken for one. */
+    private boolean isRetry(int grade, double left) {
+        boolean less = left < 0.99 * usual[grade];
+        since[grade] = less ? since[grade] + 1 : 0;
+        usual[grade] = since[grade] > ODD ? left : Math.max(usual[grade], left);
+        return left < 0.99 * usual[grade];
+    }
+
     void again(Exchange x, double now, Turn turn) {
         if (!x.over && now < x.contract) {
             offer(x, now, turn);
--- a/src/main/java/lemondrift/drill/Drill.java
+++ b/src/main/java/lemondrift/drill/Drill.java
@@ -21,6 +21,9 @@
 
 /** The bench adapter: decodes batches into calls to the decisions and encodes what they return. */
 public final class Drill {
+    /** The bit of an arrival that says that the client has tried before. */
+    private static final int RETRY = 2;
+
     private static final int BORN = 1;
     private static final int SYNC = 2;
     private static final int ARRIVAL = 3;
@@ -153,8 +156,10 @@
                 int grade = Short.toUnsignedInt(b.getShort());
                 int tenant = b.getInt();
                 b.getLong();
-                return instance.balancer.exchangeArrived(now,
-                        instance.taken(new Exchange(id, grade, tenant, now, b.getDouble() / 1000)));
+                double left = b.getDouble() / 1000;
+                b.getDouble();
+                return instance.balancer.exchangeArrived(now, instance.taken(
+                        new Exchange(id, grade, tenant, now, left, (b.get() & RETRY) != 0)));
             }
             case UNDER_WAY: {
                 Forward forward = instance.forward(b.getLong(), Byte.toUnsignedInt(b.get()));
--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -74,7 +74,7 @@
 
     /** The settings that the lab's proxies are told. */
     public static Settings settings(int proxies) {
-        return new Settings(proxies, 2, 0, false, GRADES, new double[0], 1,
+        return new Settings(proxies, 2, 0, false, GRADES, new double[0], 1, false,
                 new Settings.Reports(true, 0, 1, false, -1), new Settings.Limits(true, true, 4, 0.5),
                 new Settings.Rules(0.3, 6, 3, 2, 10), new Settings.Charges(0.01, 0.002));
     }
--- a/src/main/java/lemondrift/model/Exchange.java
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -7,6 +7,8 @@
     public final int tenant;
     public final double arrived;
     public final double expiry;
+    /** Its client has said that this is not its first try. */
+    public final boolean retry;
     public boolean over;
     public boolean begun;
     public int forwards;
@@ -21,10 +23,15 @@
     public int asks, draws;
 
     public Exchange(long id, int grade, int tenant, double arrived, double timeLeft) {
+        this(id, grade, tenant, arrived, timeLeft, false);
+    }
+
+    public Exchange(long id, int grade, int tenant, double arrived, double timeLeft, boolean retry) {
         this.id = id;
         this.grade = grade;
         this.tenant = tenant;
         this.arrived = arrived;
         this.expiry = arrived + timeLeft;
+        this.retry = retry;
     }
 }
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -4,8 +4,8 @@
 
 /** What a deployment states at start; times in seconds, charges and shares as fractions. */
 public record Settings(int balancers, int locations, int location, boolean listOnRequest,
-        List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, Reports reports, Limits limits,
-        Rules rules, Charges charges) {
+        List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
+        Reports reports, Limits limits, Rules rules, Charges charges) {
 
     /**
      * Load reports: where they come from, and at which place each figure stands (-1: not given). Where the
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -42,6 +42,7 @@
 final class Front {
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
+    private static final HttpString RETRY = new HttpString("X-Second-Try");
     private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
     private static final HttpString TENANT = new HttpString("X-Customer");
     /** An exchange's longest time in milliseconds. */
@@ -264,7 +265,8 @@
             return null;
         }
         double now = clock.now();
-        return new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3);
+        return new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3,
+                only(headers, RETRY).equals("1"));
     }
 
     private static String only(HeaderMap headers, HttpString field) {
--- a/src/main/java/lemondrift/settings/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -45,7 +45,7 @@
         boolean onRequest = text("membershipMode", "pushed").equals("on_request");
         return new Settings((int) number("siblings"), list("localities").size(),
                 (int) number("zone"), onRequest, List.copyOf(grades), quota,
-                number("excessBenefit", 1), reports(),
+                number("excessBenefit", 1), text("clients.marksRetry", "false").equals("true"), reports(),
                 new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
                         (int) number("limits.mostForwards"),
                         flag("limits.retryAfter") ? number("limits.maxRetryAfter", 0) / 1000 : 0),
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -378,6 +378,22 @@
         assertTrue(sent >= 10, sent + " of 20 went out");
     }
 
+    @Test
+    void aMarkedRetryWithMoreTimeMakesNoRetriesOfFirstTries() {
+        World w = new World(World.marked(World.settings(3, false, World.ANSWERS, true)), 7);
+        w.list(true, false, World.lines(2));
+        for (int i = 0; i < 20; i++) {
+            w.did(w.balancer.exchangeArrived(w.now, new Exchange(2 * i, ONCE, 0, w.now, 0.9)));
+            w.did(w.balancer.exchangeArrived(w.now, new Exchange(2 * i + 1, ONCE, 0, w.now, 1.9, true)));
+            w.now += 0.1;
+            List.copyOf(w.sends.subList(2 * i, w.sends.size()))
+                    .forEach(f -> w.end(f, Outcome.DELIVERED, 0, 0));
+        }
+        assertEquals(40, w.sends.size(), "first tries are first tries, and retries are young");
+        w.did(w.balancer.exchangeArrived(w.now, new Exchange(99, ONCE, 0, w.now, 0.7, true)));
+        assertTrue(w.answers.get(0).shed(), "its first try's contract time is over");
+    }
+
     @Test
     void aBegunStreamHasNoExpiry() {
         World w = World.of(1);
--- a/src/test/java/lemondrift/World.java
+++ b/src/test/java/lemondrift/World.java
@@ -46,10 +46,16 @@
     static Settings settings(int balancers, boolean onRequest, Settings.Reports reports,
             boolean mayProbe) {
         return new Settings(balancers, 2, 0, onRequest, List.of(PURE, MARKED, ONCE, CELLS), new double[0], 1,
-                reports, new Settings.Limits(true, mayProbe, 4, 0.5), RULES,
+                false, reports, new Settings.Limits(true, mayProbe, 4, 0.5), RULES,
                 new Settings.Charges(0.05, 0.002));
     }
 
+    /** The same where clients mark their retries. */
+    static Settings marked(Settings s) {
+        return new Settings(s.balancers(), s.locations(), s.location(), s.listOnRequest(), s.grades(),
+                s.tenantQuota(), s.excessBenefit(), true, s.reports(), s.limits(), s.rules(), s.charges());
+    }
+
     static List<Listed> lines(int backends) {
         List<Listed> lines = new ArrayList<>();
         for (int i = 0; i < backends; i++) {
--- a/src/test/java/lemondrift/lab/world/WorldTest.java
+++ b/src/test/java/lemondrift/lab/world/WorldTest.java
@@ -202,7 +202,7 @@
     void aModuleThatTakesTheColdForWarmIsCaught() {
         Day usual = Days.of(1, 4, 1, new Trouble(Kind.CRASH, 2, 4, 0.75, 1));
         Settings told = usual.settings();
-        Settings frail = new Settings(1, 2, 0, false, told.grades(), new double[0], 1, told.reports(),
+        Settings frail = new Settings(1, 2, 0, false, told.grades(), new double[0], 1, false, told.reports(),
                 told.limits(), new Settings.Rules(0.3, 6, 1.5, 2, 10), told.charges());
         Day few = new Day(frail, 1, 4, 2, usual.rate(), 0.05, 0.5, 3, 0.0005, 0.4, 2, 20, 1,
                 usual.troubles());
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -16,7 +16,7 @@
 /** The owner without sockets, its clock in the test's hand. */
 class OwnerTest implements Hands {
     private static final Settings SETTINGS = new Settings(1, 1, 0, false,
-            List.of(new ServiceGrade(1, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0)), new double[0], 1,
+            List.of(new ServiceGrade(1, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0)), new double[0], 1, false,
             new Settings.Reports(false, -1, -1, false, -1), new Settings.Limits(true, false, 4, 0.5),
             new Settings.Rules(0.25, 8, 3, 2, 10), new Settings.Charges(0, 0));
     private static final Answer DELIVERED = new Answer(Answer.OK, null, new byte[0], true, false);
