--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -67,6 +67,16 @@
         return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, false, now));
     }
 
+    /** How many exchanges the other proxies have out at a backend, as far as they have told. */
+    public void othersHold(int backend, int exchanges) {
+        estimate.othersHold(backend, exchanges);
+    }
+
+    /** Whether any of them has told lately what it has out. */
+    public void othersHeard(boolean any) {
+        estimate.othersHeard = any;
+    }
+
     /** A question that changes nothing: what would be shed of a service grade on arrival now. */
     public Word word(double now, int grade) {
         return admission.word(grade, now).upTo(expiry.longestRetryAfter);
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -26,6 +26,9 @@
     private final Faded[] heard, heards;
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
+    /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
+    boolean othersHeard;
+    private double[] others = {}, use = {}, held = {};
 
     Estimate(Settings s, Fleet fleet) {
         this.fleet = fleet;
@@ -48,6 +51,9 @@
         reportedAt = Arrays.copyOf(reportedAt, fleet.size);
         sends = Arrays.copyOf(sends, fleet.size);
         rated = Arrays.copyOf(rated, fleet.size);
+        others = Arrays.copyOf(others, fleet.size);
+        use = Arrays.copyOf(use, fleet.size);
+        held = Arrays.copyOf(held, fleet.size);
     }
 
     /**
@@ -57,12 +63,14 @@
     void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
         double u = figure(figures, places.utilisation(), 0);
         double itself = places.countsAnswered() && answer && delivered ? 1 : 0;
-        double held = Math.max(0, figure(figures, places.held(), 0) - itself);
-        if (figures == null || !(u + held >= 0)) {
+        double h = Math.max(0, figure(figures, places.held(), 0) - itself);
+        if (figures == null || !(u + h >= 0)) {
             return;
         }
+        use[i] = delivered ? u : 1;
+        held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
-        double told = u + held * worth(i, now);
+        double told = u + h * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
         report[i] = delivered ? told : Math.max(told, mean(i, now));
         reportedAt[i] = now;
@@ -111,6 +119,12 @@
         double trust = trust(i, now), mean = mean(i, now);
         double base = mean + trust * (report[i] - mean);
         double own = trust * sends[i] + (1 - trust) * fleet.out[i];
+        if (othersHeard && !averages) {
+            // What is out is known of all, so the report adds how busy it was, and what it held beyond that.
+            own = Math.max(fleet.out[i] + others[i], trust * (held[i] + sends[i]));
+            mean = Math.min(1, mean);
+            base = mean + trust * (use[i] - mean);
+        }
         // Danger: a cold backend reports near nothing and draws more than it can bear.
         return (fleet.coldShare(i, now) < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
     }
@@ -139,6 +153,10 @@
         }
     }
 
+    void othersHold(int i, int exchanges) {
+        others[i] = exchanges;
+    }
+
     void forget(int i) {
         reportedAt[i] = rated[i] = sends[i] = 0;
     }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -22,7 +22,7 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
         List<String> reportNames, double idle, double connectTimeout, JsonObject known,
-        Bounds door) {
+        Bounds door, Peers.Place peers) {
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
     private static final int OTHERS = 40;
 
@@ -39,7 +39,12 @@
     Config with(Bounds other) {
         return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
                 locations,
-                reportNames, idle, connectTimeout, known, other);
+                reportNames, idle, connectTimeout, known, other, peers);
+    }
+
+    private Config with(Peers.Place place) {
+        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
+                locations, reportNames, idle, connectTimeout, known, door, place);
     }
 
     /** What the files named in an environment say: PROXY_CONFIG, and PROXY_DOOR where there is one. */
@@ -47,9 +52,12 @@
         if (environment.get("PROXY_CONFIG") == null) {
             throw new BadInput("PROXY_CONFIG is not set");
         }
-        Config config = read(Files.readString(Path.of(environment.get("PROXY_CONFIG"))));
+        String json = Files.readString(Path.of(environment.get("PROXY_CONFIG")));
+        Config config = read(json);
         String door = environment.get("PROXY_DOOR");
-        return door == null ? config : config.with(DoorFile.read(Path.of(door), config.door));
+        config = door == null ? config : config.with(DoorFile.read(Path.of(door), config.door));
+        String peers = environment.get("PROXY_PEERS");
+        return peers == null ? config : config.with(PeersFile.read(Path.of(peers), config.settings, json));
     }
 
     static Config read(String json) {
@@ -75,7 +83,7 @@
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
                 reader.number("limits.connectTimeout", 250) / 1000, known(json),
-                DoorFile.usual(connections(sockets), settings));
+                DoorFile.usual(connections(sockets), settings), null);
     }
 
     /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -43,6 +43,10 @@
         return entries.get(backend).address;
     }
 
+    String id(int backend) {
+        return entries.get(backend).id;
+    }
+
     /** Something speaks of the backend by its index, which stands for it until it is let go. */
     void hold(int backend) {
         entries.get(backend).held++;
--- a/src/main/java/lemondrift/serve/DoorFile.java
+++ b/src/main/java/lemondrift/serve/DoorFile.java
@@ -63,7 +63,7 @@
                 usual.benefit());
     }
 
-    private static JsonObject object(Path file) throws IOException {
+    static JsonObject object(Path file) throws IOException {
         try {
             return JsonParser.parseString(Files.readString(file)).getAsJsonObject();
         } catch (JsonParseException | IllegalStateException e) {
@@ -71,7 +71,7 @@
         }
     }
 
-    private static double seconds(JsonElement value, double least, double most) {
+    static double seconds(JsonElement value, double least, double most) {
         double number;
         try {
             number = value.getAsDouble();
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -52,6 +52,7 @@
             = AttachmentKey.create(Visitors.Visitor.class);
 
     private final Config config;
+    private Runnable first = () -> { };
     private final Clock clock;
     private final Owner owner;
     private final XnioWorker worker;
@@ -231,8 +232,14 @@
         });
     }
 
+    /** What is to be done before an exchange is decided; set before listening. */
+    void first(Runnable task) {
+        first = task;
+    }
+
     /** Hands it to the decisions. Where they can't take it in time it waits, or is answered by their word. */
     private void offer(Taken taken) {
+        first.run();
         Exchange x = taken.exchange();
         double end = x.arrived + Math.min(x.expiry - x.arrived, contractTime[x.grade]);
         if (intake.takes()) {
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -25,6 +25,9 @@
     /** So many exchanges that had arrived were decided, in so many seconds for all that was done. */
     void decided(int exchanges, double seconds);
 
+    /** Tells the other proxies. */
+    void tell(byte[] datagram);
+
     /** All that was asked for since the last time is to be done now. */
     void act();
 }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -1,11 +1,14 @@
 package lemondrift.serve;
 
 import com.google.gson.JsonObject;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
@@ -16,6 +19,7 @@
 import lemondrift.model.Outcome;
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
+import lemondrift.peer.Holdings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +34,8 @@
     /** Something that happened, and the exchange that it is about, if any. */
     private record Event(Exchange about, Supplier<Turn> call) {}
 
+    private record Told(int from, byte[] datagram) {}
+
     private final BlockingQueue<Event> queue = new ArrayBlockingQueue<>(QUEUED);
     private final Balancer balancer;
     private final Directory directory;
@@ -37,6 +43,12 @@
     private final Hands hands;
     private final Map<Exchange, Taken> open = new HashMap<>();
     private final Thread thread = new Thread(this::run, "owner");
+    /** What the others have told and is not handled yet; null where they tell nothing. */
+    private final Queue<Told> told = new ConcurrentLinkedQueue<>();
+    /** Only the owner's thread uses these; the tags go by index. */
+    private Holdings holdings;
+    private final Map<Integer, Integer> byTag = new HashMap<>();
+    private int[] tags = {};
     private double wakeAt = Double.POSITIVE_INFINITY;
     private int arrived;
     /** What the decisions would shed of each grade, as of the last time that the queue was long. */
@@ -52,6 +64,40 @@
         thread.setDaemon(true);
     }
 
+    /** Tells the other proxies what is out here and hears it of them; before the start. */
+    void tells(int others, double pace, double forget) {
+        holdings = new Holdings(others, pace, forget, tag -> {
+            Integer backend = byTag.get(tag);
+            if (backend != null) {
+                balancer.othersHold(backend, holdings.others(tag));
+            }
+        });
+    }
+
+    /** Danger: the owner is not woken, as what others have out matters only when it decides. */
+    void told(int from, byte[] datagram) {
+        told.add(new Told(from, datagram));
+    }
+
+    private void hear() {
+        for (Told next = told.poll(); next != null; next = told.poll()) {
+            holdings.told(next.from, next.datagram, clock.now());
+        }
+        holdings.forget(clock.now());
+        balancer.othersHeard(holdings.heard(clock.now()) > 0);
+    }
+
+    private void tag(List<Listed> lines) {
+        for (Listed line : lines) {
+            int backend = line.backend(), tag = Holdings.tag(directory.id(backend));
+            tags = Arrays.copyOf(tags, Math.max(tags.length, backend + 1));
+            byTag.remove(tags[backend], backend);
+            tags[backend] = tag;
+            byTag.put(tag, backend);
+            balancer.othersHold(backend, holdings.others(tag));
+        }
+    }
+
     void start() {
         thread.start();
     }
@@ -90,6 +136,9 @@
             if (wins && taken != null) {
                 hands.deliver(taken, answer);
             }
+            if (holdings != null) {
+                holdings.ended(tags[f.backend]);
+            }
             return balancer.forwardEnded(clock.now(), f, outcome, took, wins || f.exchange.over, report);
         });
     }
@@ -110,6 +159,9 @@
             boolean whole = list.get("complete").getAsBoolean();
             List<Listed> lines = directory.listed(list, whole);
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
+            if (holdings != null) {
+                tag(lines);
+            }
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
             return turn;
@@ -131,11 +183,15 @@
     private void run() {
         while (!Thread.interrupted()) {
             try {
-                double wait = Math.min(LONGEST_WAIT, wakeAt - clock.now());
+                double next = holdings == null ? wakeAt : Math.min(wakeAt, holdings.tellAt());
+                double wait = Math.min(LONGEST_WAIT, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
                 double began = clock.now();
                 int handled = 0;
+                if (holdings != null) {
+                    hear();
+                }
                 for (; event != null; handled++) {
                     handle(event);
                     event = handled < AT_A_TIME ? queue.poll() : null;
@@ -150,6 +206,10 @@
                     hands.decided(arrived, clock.now() - began);
                     arrived = 0;
                 }
+                byte[] telling = holdings == null ? null : holdings.telling(clock.now());
+                if (telling != null) {
+                    hands.tell(telling);
+                }
                 hands.act();
             } catch (InterruptedException e) {
                 return;
@@ -182,6 +242,9 @@
         turn.cancels.forEach(hands::cancel);
         for (Forward f : turn.sends) {
             directory.hold(f.backend);
+            if (holdings != null) {
+                holdings.sent(tags[f.backend]);
+            }
             hands.send(f, open.get(f.exchange), directory.address(f.backend));
         }
         for (Turn.Answer a : turn.answers) {
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Peers.java
@@ -0,0 +1,85 @@
+package lemondrift.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import lemondrift.peer.Holdings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+import org.xnio.channels.MulticastMessageChannel;
+import org.xnio.channels.SocketAddressBuffer;
+
+/** Datagrams from and to the other proxies. I/O thread only, once it has begun. */
+final class Peers {
+    private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+
+    /** Where this proxy hears the others, the address of each and of all, and the file's two spans. */
+    record Place(InetSocketAddress listen, List<InetSocketAddress> others, InetSocketAddress all, double pace,
+            double forget) {}
+
+    private final Place place;
+    private final Owner owner;
+    private final ByteBuffer buffer = ByteBuffer.allocate(Holdings.MOST_BYTES + 1);
+    private final SocketAddressBuffer sender = new SocketAddressBuffer();
+    private MulticastMessageChannel channel;
+    private XnioExecutor.Key timer;
+    private boolean failed;
+
+    Peers(Place place, Owner owner) {
+        this.place = place;
+        this.owner = owner;
+    }
+
+    void begin(XnioWorker worker) throws IOException {
+        channel = worker.createUdpServer(place.listen, OptionMap.EMPTY);
+        // Danger: to be woken for each datagram takes more of a part of a core than all exchanges do.
+        timer = worker.getIoThread().executeAtInterval(this::receive, (long) (place.pace * 1e9),
+                TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Reads all that has come; each exchange that arrives has this done first. Danger: a datagram from an
+     * unknown sender, or a longer one than any may be, is not from a proxy.
+     */
+    void receive() {
+        try {
+            for (int got = channel.receiveFrom(sender, buffer.clear()); got > 0;
+                    got = channel.receiveFrom(sender, buffer.clear())) {
+                int from = place.others.indexOf(sender.getSourceAddress());
+                if (from >= 0 && got <= Holdings.MOST_BYTES) {
+                    byte[] datagram = new byte[got];
+                    buffer.flip().get(datagram);
+                    owner.told(from, datagram);
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            warn(e);
+        }
+    }
+
+    void tell(byte[] datagram) {
+        try {
+            channel.sendTo(place.all, ByteBuffer.wrap(datagram));
+        } catch (IOException | RuntimeException e) {
+            warn(e);
+        }
+    }
+
+    private void warn(Exception e) {
+        if (!failed) {
+            LOG.warn("other proxies can't be told or heard: {}", e.toString());
+        }
+        failed = true;
+    }
+
+    void stop() {
+        timer.remove();
+        IoUtils.safeClose(channel);
+    }
+}
--- /dev/null
+++ b/src/main/java/lemondrift/serve/PeersFile.java
@@ -0,0 +1,58 @@
+package lemondrift.serve;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lemondrift.model.Settings;
+import lemondrift.settings.BadInput;
+
+/** Reads what a deployment may say of telling other proxies; docs/peers.md has the keys. */
+final class PeersFile {
+    /** The pace of tellings and when a silent one is forgotten, as shares of the shortest contract time. */
+    private static final double PACE = 0.06, FORGET = 1;
+
+    private PeersFile() {}
+
+    /** Null where the configuration forbids messages between proxies or names no addresses for them. */
+    static Peers.Place read(Path file, Settings settings, String config) throws IOException {
+        double pace = PACE, forget = FORGET;
+        for (Map.Entry<String, JsonElement> each : DoorFile.object(file).entrySet()) {
+            try {
+                switch (each.getKey()) {
+                    case "pace" -> pace = DoorFile.seconds(each.getValue(), 0.001, 1);
+                    case "forget" -> forget = DoorFile.seconds(each.getValue(), 0.1, 100);
+                    default -> throw new BadInput("not a key; there are pace, forget");
+                }
+            } catch (BadInput | IllegalStateException | UnsupportedOperationException e) {
+                throw new BadInput(file + ": " + each.getKey() + ": " + e.getMessage());
+            }
+        }
+        double window = settings.grades().stream().mapToDouble(g -> g.contractTime()).min().orElse(1);
+        return place(JsonParser.parseString(config).getAsJsonObject(), pace * window, forget * window);
+    }
+
+    private static Peers.Place place(JsonObject config, double pace, double forget) {
+        JsonObject settings = config.has("settings") ? config.getAsJsonObject("settings") : new JsonObject();
+        boolean allowed = settings.has("limits") && settings.getAsJsonObject("limits").has("mayTell")
+                && settings.getAsJsonObject("limits").get("mayTell").getAsBoolean();
+        if (!allowed || !config.has("peer_listen") || !config.has("peers") || !config.has("peers_all")) {
+            return null;
+        }
+        List<InetSocketAddress> others = new ArrayList<>();
+        for (JsonElement each : config.getAsJsonArray("peers")) {
+            others.add(Config.address("peers", each.getAsString()));
+        }
+        int own = settings.has("slotNo") ? settings.get("slotNo").getAsInt() : -1;
+        if (own >= 0 && own < others.size()) {
+            others.remove(own);
+        }
+        return new Peers.Place(Config.address("peer_listen", config.get("peer_listen").getAsString()), others,
+                Config.address("peers_all", config.get("peers_all").getAsString()), pace, forget);
+    }
+}
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -40,6 +40,8 @@
     private final Backends backends;
     private final double longestExpiry;
     private final JsonObject known;
+    /** Null where the other proxies are told nothing. */
+    private final Peers peers;
     private volatile Phase phase = Phase.STARTING;
 
     Proxy(Config config) throws IOException {
@@ -59,6 +61,10 @@
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner);
         known = config.known();
+        peers = config.peers() == null || dial != null ? null : new Peers(config.peers(), owner);
+        if (peers != null) {
+            owner.tells(config.peers().others().size(), config.peers().pace(), config.peers().forget());
+        }
     }
 
     static XnioWorker worker() throws IOException {
@@ -69,6 +75,10 @@
     }
 
     void serve() throws IOException {
+        if (peers != null) {
+            peers.begin(worker);
+            front.first(peers::receive);
+        }
         owner.listed(known, true);
         owner.start();
         worker.getIoThread().execute(watch::begin);
@@ -113,6 +123,9 @@
         worker.getIoThread().execute(() -> {
             watch.stop();
             backends.stop();
+            if (peers != null) {
+                peers.stop();
+            }
         });
         owner.stop();
         worker.shutdown();
@@ -175,6 +188,11 @@
             wishes.add(() -> front.decided(exchanges, seconds));
         }
 
+        @Override
+        public void tell(byte[] datagram) {
+            wishes.add(() -> peers.tell(datagram));
+        }
+
         @Override
         public void act() {
             if (!wishes.isEmpty()) {
--- a/src/test/java/lemondrift/DecisionsTest.java
+++ b/src/test/java/lemondrift/DecisionsTest.java
@@ -64,6 +64,23 @@
         assertEquals(first.backend, w.arrive(ONCE).backend, "idle, though its report says one");
     }
 
+    @Test
+    void whatOthersHaveOutCountsLikeOwnAndNeverWarmsACold() {
+        World w = new World(World.settings(14, false, World.ANSWERS, false), 7);
+        w.list(true, false, List.of(World.line(0, Listed.State.READY, 0),
+                World.line(1, Listed.State.READY, 0), World.line(2, Listed.State.READY, w.now)));
+        w.balancer.othersHold(0, 3);
+        w.balancer.othersHold(2, 0);
+        w.balancer.othersHeard(true);
+        assertEquals(1, w.arrive(ONCE).backend, "idle as told");
+        int cold = 0;
+        for (int i = 0; i < 30; i++) {
+            Forward f = w.arrive(ONCE);
+            cold += f != null && f.backend == 2 ? 1 : 0;
+        }
+        assertTrue(cold <= 1, cold + " went to one that looks idle and is cold");
+    }
+
     @Test
     void exchangesHeldSeparateWhereUtilisationsSaturate() {
         World w = World.of(2).load(0.9, 1);
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import lemondrift.decide.Balancer;
+import lemondrift.peer.Holdings;
 import lemondrift.model.*;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,7 @@
             new Settings.Rules(0.25, 8, 3, 2, 10), new Settings.Charges(0, 0));
     private static final Answer DELIVERED = new Answer(Answer.OK, null, new byte[0], true, false);
 
+    private final LinkedBlockingQueue<byte[]> tellings = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> did = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<Forward> sends = new LinkedBlockingQueue<>();
     private volatile double now = 1000;
@@ -59,6 +61,25 @@
         assertEquals("delivered 2", next());
     }
 
+    @Test
+    void theOthersAreToldWhatIsOut() throws Exception {
+        owner.tells(1, 0, 1);
+        owner.start();
+        list("active");
+        Forward f = arrive(1);
+        Holdings other = new Holdings(1, 0, 1, tag -> { });
+        other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+        while (other.others(Holdings.tag("s-1")) == 0) {
+            other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+        }
+        owner.told(0, new byte[] {1, 2, 3});
+        owner.ended(f, Outcome.DELIVERED, 0.1, null, DELIVERED);
+        while (other.others(Holdings.tag("s-1")) > 0) {
+            other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+        }
+        assertEquals("delivered 1", next());
+    }
+
     @Test
     void anExchangeIsAnsweredOnceAndLateAnswersAreDropped() throws Exception {
         owner.start();
@@ -151,6 +172,11 @@
     public void decided(int exchanges, double seconds) {
     }
 
+    @Override
+    public void tell(byte[] datagram) {
+        tellings.add(datagram);
+    }
+
     @Override
     public void act() {
     }
