--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -158,6 +158,6 @@
     }
 
     void forget(int i) {
-        reportedAt[i] = rated[i] = sends[i] = 0;
+        reportedAt[i] = rated[i] = sends[i] = others[i] = 0;
     }
 }
--- a/src/main/java/lemondrift/serve/Peers.java
+++ b/src/main/java/lemondrift/serve/Peers.java
@@ -36,8 +36,14 @@
         this.owner = owner;
     }
 
-    void begin(XnioWorker worker) throws IOException {
-        channel = worker.createUdpServer(place.listen, OptionMap.EMPTY);
+    /** Danger: a proxy that can't hear the others can still serve. */
+    void begin(XnioWorker worker) {
+        try {
+            channel = worker.createUdpServer(place.listen, OptionMap.EMPTY);
+        } catch (IOException e) {
+            warn(e);
+            return;
+        }
         // Danger: to be woken for each datagram takes more of a part of a core than all exchanges do.
         timer = worker.getIoThread().executeAtInterval(this::receive, (long) (place.pace * 1e9),
                 TimeUnit.NANOSECONDS);
@@ -48,6 +54,9 @@
      * unknown sender, or a longer one than any may be, is not from a proxy.
      */
     void receive() {
+        if (channel == null) {
+            return;
+        }
         try {
             for (int got = channel.receiveFrom(sender, buffer.clear()); got > 0;
                     got = channel.receiveFrom(sender, buffer.clear())) {
@@ -64,6 +73,9 @@
     }
 
     void tell(byte[] datagram) {
+        if (channel == null) {
+            return;
+        }
         try {
             channel.sendTo(place.all, ByteBuffer.wrap(datagram));
         } catch (IOException | RuntimeException e) {
@@ -79,7 +91,9 @@
     }
 
     void stop() {
-        timer.remove();
+        if (timer != null) {
+            timer.remove();
+        }
         IoUtils.safeClose(channel);
     }
 }
