--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -126,7 +126,7 @@
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double doubt = estimate.averages ? 1 : 1 - estimate.trust(x.best, now);
+        double doubt = estimate.averages ? 1 : 0;
         return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
