--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -20,7 +20,7 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period;
+    private double quick, answers, pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded[] heard, heards;
@@ -67,14 +67,6 @@
         if (figures == null || !(u + h >= 0)) {
             return;
         }
-        // Danger: one that is told again says nothing new, and clearing the sends would draw a herd to it.
-        double gap = now - reportedAt[i];
-        boolean same = reportedAt[i] > 0 && delivered && u > 0 && u == use[i] && reportedAt[i] > 0;
-        if (same) {
-            period += Math.max(0, gap - period) / 4;
-            return;
-        }
-        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - gap) / 16 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
@@ -119,12 +111,7 @@
     }
 
     double trust(int i, double now) {
-        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / Math.max(horizon, period));
-    }
-
-    /** What the other proxies may have sent since a report was made, where it is old when it comes. */
-    double unseen(int i, int part, double now) {
-        return 0.05 * part * period / quick * worth(i, now);
+        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
