--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -42,8 +42,8 @@
         pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
-        heard = Faded.many(averages ? s.locations() : 1, memory);
-        heards = Faded.many(averages ? s.locations() : 1, memory);
+        heard = Faded.many(s.locations(), memory);
+        heards = Faded.many(s.locations(), memory);
     }
 
     void listed() {
