--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -10,8 +10,7 @@
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
     private static final double SPREAD = 2, STEP = 0.02;
     /** How many own outcomes the pace is taken over. */
-    private static final int FEW = 8, RECENT = 15;
-    private int allOut;
+    private static final int FEW = 8;
 
     /** The window of the design page, which is the shortest contract time; spans in which things fade. */
     final double window, memory, horizon;
@@ -24,9 +23,7 @@
     private double quick, answers, pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
-    private final double[][] lately;
-    private final double[] typical;
-    private final int[] counts;
+    private final Faded[] heard, heards;
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
@@ -45,10 +42,8 @@
         pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
-        lately = new double[s.locations()][RECENT];
-        counts = new int[s.locations()];
-        typical = new double[s.locations()];
-        Arrays.fill(typical, 0.5);
+        heard = Faded.many(averages ? s.locations() : 1, memory);
+        heards = Faded.many(averages ? s.locations() : 1, memory);
     }
 
     void listed() {
@@ -80,11 +75,8 @@
         report[i] = delivered ? told : Math.max(told, mean(i, now));
         reportedAt[i] = now;
         sends[i] = 0;
-        int at = fleet.location[i] % lately.length;
-        lately[at][counts[at]++ % RECENT] = told;
-        double[] sorted = Arrays.copyOf(lately[at], Math.min(counts[at], RECENT));
-        Arrays.sort(sorted);
-        typical[at] = sorted[sorted.length / 2];
+        heard[fleet.location[i] % heard.length].add(told, now);
+        heards[fleet.location[i] % heard.length].add(1, now);
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
@@ -93,7 +85,8 @@
 
     /** The mean of the reports heard lately and a half; of averages, those of its own location. */
     private double mean(int i, double now) {
-        return typical[fleet.location[i] % lately.length];
+        int at = fleet.location[i] % heard.length;
+        return (0.5 + heard[at].at(now)) / (1 + heards[at].at(now));
     }
 
     /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
@@ -124,9 +117,8 @@
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
     double of(int i, double now) {
         double trust = trust(i, now), mean = mean(i, now);
-        double lasts = report[i] > mean && reportedAt[i] > 0 ? Math.exp((reportedAt[i] - now) / horizon) : trust;
-        double base = mean + lasts * (report[i] - mean);
-        double own = trust * sends[i] + (1 - trust) * Math.max(0, fleet.out[i] - (double) allOut / Math.max(1, fleet.order.length));
+        double base = mean + trust * (report[i] - mean);
+        double own = trust * sends[i] + (1 - trust) * fleet.out[i];
         if (othersHeard && !averages) {
             // What is out is known of all, so the report adds how busy it was, and what it held beyond that.
             own = Math.max(fleet.out[i] + others[i], trust * (held[i] + sends[i]));
@@ -140,14 +132,12 @@
     void sent(int i, double now) {
         sends[i]++;
         fleet.out[i]++;
-        allOut++;
         ownRate.add(1 / memory, now);
     }
 
     void ended(Forward f, Outcome outcome, double took, double now) {
         int i = f.backend;
         fleet.out[i]--;
-        allOut--;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
             pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
