--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -147,7 +147,7 @@
                 double step = Math.max(STEP, 1 / (3 + answers));
                 quick = answers == 1 ? Math.max(took, window / 1000)
                         : quick * (took < quick ? 1 - 3 * step : 1 + step);
-                waited(Math.max(0, took - quick), now);
+                waited(places.inAnswers() ? wait(i, now) : Math.max(0, took - quick), now);
             }
             case TIMED_OUT, CONNECT_FAILED, FULL -> waited(outcome == Outcome.FULL ? window : took, now);
         }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -126,8 +126,8 @@
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double trust = estimate.averages ? 0 : estimate.trust(x.best, now);
-        return (1 - trust) * estimate.metWait.at(now) + trust * estimate.wait(x.best, now);
+        double doubt = estimate.averages ? 1 : 0;
+        return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
     /**
