Sizes that the list tells set service times; ties among old reports go by size

Change: Listed.size, Estimate.serviceTime by it where no rate is told; the least estimate's tie is drawn exponentially, one exchange's worth by service time, as far as the report is old.

--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -101,7 +101,7 @@
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
     private double serviceTime(int i, double now) {
-        double s = rated[i] > 0 && rated[i] < window ? rated[i] : quick;
+        double s = rated[i] > 0 && rated[i] < window ? rated[i] : quick * fleet.meanPower / fleet.power[i];
         return Math.max(quick / SPREAD, Math.min(quick * SPREAD, s)) / fleet.coldShare(i, now);
     }
 
@@ -114,6 +114,10 @@
         return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
+    double doubt(int i, double now) {
+        return 1e-6 + (1 - trust(i, now)) * worth(i, now);
+    }
+
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
     double of(int i, double now) {
         double trust = trust(i, now), mean = mean(i, now);
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -13,7 +13,8 @@
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
-    double[] started = {}, startSeen = {};
+    double[] started = {}, startSeen = {}, power = {};
+    double meanPower = 1;
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
 
@@ -32,12 +33,14 @@
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
+            power[i] = line.size();
             started[i] = Math.max(line.fresh() ? 0 : started[i], line.started());
             startSeen[i] = line.fresh() ? 0 : startSeen[i];
         }
         int kept = (int) Arrays.stream(order).filter(i -> ready[i]).count();
         order = IntStream.concat(Arrays.stream(order), IntStream.range(0, size)).filter(i -> ready[i])
                 .distinct().toArray();
+        meanPower = Arrays.stream(order).mapToDouble(i -> power[i]).average().orElse(1);
         for (int j = kept; j < order.length; j++) {
             swap(j, (int) (chance.next() * (j + 1)));
         }
@@ -53,6 +56,7 @@
         ready = Arrays.copyOf(ready, wanted);
         location = Arrays.copyOf(location, wanted);
         cell = Arrays.copyOf(cell, wanted);
+        power = Arrays.copyOf(power, wanted);
         started = Arrays.copyOf(started, wanted);
         startSeen = Arrays.copyOf(startSeen, wanted);
         out = Arrays.copyOf(out, wanted);
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -76,7 +76,8 @@
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
-                    + (fleet.location[i] == here ? 0 : cross) + 1e-6 * chance.next();
+                    + (fleet.location[i] == here ? 0 : cross)
+                    - Math.log(1 - chance.next()) * estimate.doubt(i, now);
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
                 order[at] = order[at - 1];
             }
--- a/src/main/java/lemondrift/drill/Drill.java
+++ b/src/main/java/lemondrift/drill/Drill.java
@@ -216,8 +216,8 @@
                 case 2 -> Listed.State.DRAINING;
                 default -> Listed.State.GONE;
             };
-            b.getFloat();
-            lines.add(new Instance.Line(address, location, cell, state, b.getDouble() / 1000));
+            double size = b.getFloat();
+            lines.add(new Instance.Line(address, location, cell, state, b.getDouble() / 1000, size));
         }
         return lines;
     }
--- a/src/main/java/lemondrift/drill/Instance.java
+++ b/src/main/java/lemondrift/drill/Instance.java
@@ -14,7 +14,8 @@
 /** One proxy's decisions with the ids by which the wire names its exchanges and backends. */
 final class Instance {
     /** One line of a list as it came, before the instance gives its backend an index. */
-    record Line(long address, int location, int cell, Listed.State state, double started) {}
+    record Line(long address, int location, int cell, Listed.State state, double started,
+            double size) {}
 
     final Balancer balancer;
     private final int number;
@@ -44,7 +45,7 @@
         for (Line line : lines) {
             boolean fresh = !indexes.containsKey(line.address);
             result.add(new Listed(index(line.address), fresh, line.location, line.cell, line.state,
-                    line.started));
+                    line.started, line.size));
         }
         return result;
     }
