--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -113,6 +113,9 @@
         int k = i * tests + test;
         double step = bad ? Math.log((1 + usualBad) / 2 / usualBad) : Math.log(0.5);
         score[k] = suspendedUntil[k] > 0 ? score[k] : Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
+        if (test == 0) {
+            estimate.suspect(i, score[k] / SUSPEND_AT, now);
+        }
         boolean onTrial = suspendedUntil[k] > 0 && suspendedUntil[k] <= now;
         if (onTrial && bad) {
             score[k] = Math.min(LONGEST * SUSPEND_AT, 2 * score[k]);
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -25,7 +25,7 @@
     final Faded ownRate, metWait;
     private final Faded[] heard, heards;
 
-    private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
+    private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, suspected = {}, suspectedAt = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
     boolean othersHeard;
     private double[] others = {}, use = {}, held = {};
@@ -51,6 +51,8 @@
         reportedAt = Arrays.copyOf(reportedAt, fleet.size);
         sends = Arrays.copyOf(sends, fleet.size);
         rated = Arrays.copyOf(rated, fleet.size);
+        suspected = Arrays.copyOf(suspected, fleet.size);
+        suspectedAt = Arrays.copyOf(suspectedAt, fleet.size);
         others = Arrays.copyOf(others, fleet.size);
         use = Arrays.copyOf(use, fleet.size);
         held = Arrays.copyOf(held, fleet.size);
@@ -114,6 +116,16 @@
         return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
+    /** What own outcomes say against a backend counts as its use, long before it is suspended. */
+    void suspect(int i, double share, double now) {
+        suspected[i] = share;
+        suspectedAt[i] = now;
+    }
+
+    double suspicion(int i, double now) {
+        return suspected[i] * Math.exp((suspectedAt[i] - now) / memory);
+    }
+
     double doubt(int i, double now) {
         return 1e-6 + (1 - trust(i, now)) * worth(i, now);
     }
@@ -162,6 +174,6 @@
     }
 
     void forget(int i) {
-        reportedAt[i] = rated[i] = sends[i] = others[i] = 0;
+        reportedAt[i] = rated[i] = suspected[i] = sends[i] = others[i] = 0;
     }
 }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -75,7 +75,7 @@
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
-            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
+            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now) + 2 * estimate.suspicion(i, now)
                     + (fleet.location[i] == here ? 0 : cross)
                     - Math.log(1 - chance.next()) * estimate.doubt(i, now);
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
