--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -5,7 +5,6 @@
 
 /** The design's figure: a backend's last report plus own sends since times one exchange's worth. */
 final class Estimate {
-    private static final double K = 15;
     /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125;
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
@@ -21,7 +20,7 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period;
+    private double quick, answers, pace;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded[] heard, heards;
@@ -43,8 +42,8 @@
         pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
-        heard = Faded.many(s.locations(), memory);
-        heards = Faded.many(s.locations(), memory);
+        heard = Faded.many(averages ? s.locations() : 1, memory);
+        heards = Faded.many(averages ? s.locations() : 1, memory);
     }
 
     void listed() {
@@ -70,13 +69,6 @@
         if (figures == null || !(u + h >= 0)) {
             return;
         }
-        // Danger: one that is told again says nothing new, and clearing the sends would draw a herd to it.
-        double gap = now - reportedAt[i];
-        if (reportedAt[i] > 0 && delivered && u > 0 && u == use[i]) {
-            period += Math.max(0, gap - period) / 4;
-            return;
-        }
-        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - gap) / 16 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
@@ -121,7 +113,7 @@
     }
 
     double trust(int i, double now) {
-        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / Math.max(horizon, period));
+        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
     /** What own outcomes say against a backend counts as its use, long before it is suspended. */
@@ -135,7 +127,7 @@
     }
 
     double doubt(int i, double now) {
-        return 1e-6 + Math.max(K * Math.min(1, period / window), 1 - trust(i, now)) * worth(i, now);
+        return 1e-6 + (1 - trust(i, now)) * worth(i, now);
     }
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
