--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -169,6 +169,10 @@
         }
     }
 
+    double meanWork() {
+        return pace;
+    }
+
     void othersHold(int i, int exchanges) {
         others[i] = exchanges;
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -31,11 +31,11 @@
         this.chance = chance;
         here = s.location();
         rounds = !s.limits().probes() ? 0
-                : (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
+                : 0 * (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
-        patience = PATIENCE * estimate.window;
+        patience = estimate.window / 4;
     }
 
     void listed() {
@@ -164,7 +164,7 @@
     /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
     Exchange released(double now) {
         Exchange done = kept.stream().filter(x -> x.over || now >= x.keptUntil
-                || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
+                || Arrays.stream(x.asked).anyMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
         kept.remove(done);
         return done;
     }
