--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,7 +5,6 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    private static final double K = 3;
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
     private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
@@ -36,7 +35,6 @@
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
         double wait = selection.expectedWait(x, now), limit = share(rank) * (x.contract - now);
-        limit = Math.min(limit, K * share(rank) * estimate.meanWork());
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -11,6 +11,7 @@
     private static final double SPREAD = 2, STEP = 0.02;
     /** How many own outcomes the pace is taken over. */
     private static final int FEW = 8;
+    private static final double NOTCH = 0.1;
 
     /** The window of the design page, which is the shortest contract time; spans in which things fade. */
     final double window, memory, horizon;
@@ -20,10 +21,10 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace;
+    private double quick, answers, pace, period;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
-    private final Faded[] heard, heards;
+    private final double[] typical, heardAt;
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, suspected = {}, suspectedAt = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
@@ -42,8 +43,9 @@
         pace = quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
-        heard = Faded.many(averages ? s.locations() : 1, memory);
-        heards = Faded.many(averages ? s.locations() : 1, memory);
+        typical = new double[1];
+        heardAt = new double[1];
+        Arrays.fill(typical, 0.5);
     }
 
     void listed() {
@@ -69,6 +71,13 @@
         if (figures == null || !(u + h >= 0)) {
             return;
         }
+        // Danger: one that is told again says nothing new, and clearing the sends would draw a herd to it.
+        double gap = now - reportedAt[i];
+        if (reportedAt[i] > 0 && delivered && u > 0 && u == use[i]) {
+            period += Math.max(0, gap - period) / 4;
+            return;
+        }
+        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - gap) / 16 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
@@ -77,8 +86,9 @@
         report[i] = delivered ? told : Math.max(told, mean(i, now));
         reportedAt[i] = now;
         sends[i] = 0;
-        heard[fleet.location[i] % heard.length].add(told, now);
-        heards[fleet.location[i] % heard.length].add(1, now);
+        int at = fleet.location[i] % typical.length;
+        typical[at] = Math.max(0.1, mean(i, now) * (told > mean(i, now) ? 1 + NOTCH : 1 - NOTCH));
+        heardAt[at] = now;
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
@@ -87,8 +97,8 @@
 
     /** The mean of the reports heard lately and a half; of averages, those of its own location. */
     private double mean(int i, double now) {
-        int at = fleet.location[i] % heard.length;
-        return (0.5 + heard[at].at(now)) / (1 + heards[at].at(now));
+        int at = fleet.location[i] % typical.length;
+        return 0.5 + (typical[at] - 0.5) * Math.exp((heardAt[at] - now) / memory);
     }
 
     /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
@@ -98,7 +108,8 @@
 
     /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
     double wait(int i, double now) {
-        return Math.max(0, of(i, now) - 1) / worth(i, now) * pace / fleet.coldShare(i, now);
+        return Math.max(0, of(i, now) - 1) / worth(i, now)
+                * (rated[i] > 0 && rated[i] < window ? rated[i] : pace) / fleet.coldShare(i, now);
     }
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
@@ -173,6 +184,11 @@
         return pace;
     }
 
+    /** Whether reports are refreshed so seldom that one is old when it comes. */
+    boolean old() {
+        return period > horizon;
+    }
+
     void othersHold(int i, int exchanges) {
         others[i] = exchanges;
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -31,7 +31,7 @@
         this.chance = chance;
         here = s.location();
         rounds = !s.limits().probes() ? 0
-                : 0 * (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
+                : (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
@@ -93,7 +93,7 @@
         }
         int part = part(now);
         rank(x, part, now);
-        if (x.asks >= rounds || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
+        if (x.asks >= (estimate.old() ? 0 : rounds) || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
             return false;
         }
         x.asks++;
