--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,6 +5,7 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
+    private static final double CROWD = 2;
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
     private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
@@ -35,6 +36,7 @@
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
         double wait = selection.expectedWait(x, now), limit = share(rank) * (x.contract - now);
+        limit = Math.min(limit, CROWD * share(rank) * estimate.perExchange(x.best, now));
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -108,8 +108,11 @@
 
     /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
     double wait(int i, double now) {
-        return Math.max(0, of(i, now) - 1) / worth(i, now)
-                * (rated[i] > 0 && rated[i] < window ? rated[i] : pace) / fleet.coldShare(i, now);
+        return Math.max(0, of(i, now) - 1) / worth(i, now) * perExchange(i, now);
+    }
+
+    double perExchange(int i, double now) {
+        return i < 0 ? 0 : (rated[i] > 0 && rated[i] < window ? rated[i] : pace) / fleet.coldShare(i, now);
     }
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
