--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -21,7 +21,8 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period;
+    private double quick, answers, pace, period, born, meanTook;
+    private int allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final double[] typical, heardAt;
@@ -111,6 +112,13 @@
         return Math.max(0, of(i, now) - 1) / worth(i, now) * perExchange(i, now);
     }
 
+    /** The wait that own forwards meet now: the time in which as many are sent as are out, less the work. */
+    double ownWait(int i, double now) {
+        born = born == 0 ? now : born;
+        double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9), few = FEW / window;
+        return Math.max(0, (allOut + few * meanTook) / (rate + few) - perExchange(i, now));
+    }
+
     double perExchange(int i, double now) {
         return i < 0 ? 0 : (rated[i] > 0 && rated[i] < window ? rated[i] : pace) / fleet.coldShare(i, now);
     }
@@ -162,12 +170,15 @@
     void sent(int i, double now) {
         sends[i]++;
         fleet.out[i]++;
+        allOut++;
         ownRate.add(1 / memory, now);
     }
 
     void ended(Forward f, Outcome outcome, double took, double now) {
         int i = f.backend;
         fleet.out[i]--;
+        allOut--;
+        meanTook += outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT ? (took - meanTook) / FEW : 0;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
             pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -127,8 +127,8 @@
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double doubt = estimate.averages ? 1 : 0;
-        return Math.max(doubt * estimate.metWait.at(now), estimate.wait(x.best, now));
+        double known = estimate.old() || estimate.averages ? 0 : estimate.trust(x.best, now);
+        return known * estimate.wait(x.best, now) + (1 - known) * estimate.ownWait(x.best, now);
     }
 
     /**
