--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -21,7 +21,7 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period, born, meanTook;
+    private double quick, answers, pace, period, born;
     private int allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
@@ -43,7 +43,7 @@
         quick = window / 16;
         pace = quick;
         ownRate = new Faded(memory);
-        metWait = new Faded(memory);
+        metWait = new Faded(MET * window);
         typical = new double[1];
         heardAt = new double[1];
         Arrays.fill(typical, 0.5);
@@ -116,7 +116,8 @@
     double ownWait(int i, double now) {
         born = born == 0 ? now : born;
         double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9), few = FEW / window;
-        return Math.max(0, (allOut + few * meanTook) / (rate + few) - perExchange(i, now));
+        double work = perExchange(i, now);
+        return Math.max(0, (allOut + few * (work + metWait.at(now))) / (rate + few) - work);
     }
 
     double perExchange(int i, double now) {
@@ -178,7 +179,6 @@
         int i = f.backend;
         fleet.out[i]--;
         allOut--;
-        meanTook += outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT ? (took - meanTook) / FEW : 0;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
             pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
@@ -188,7 +188,7 @@
                 double step = Math.max(STEP, 1 / (3 + answers));
                 quick = answers == 1 ? Math.max(took, window / 1000)
                         : quick * (took < quick ? 1 - 3 * step : 1 + step);
-                waited(places.inAnswers() ? wait(i, now) : Math.max(0, took - quick), now);
+                waited(Math.max(0, took - perExchange(i, now)), now);
             }
             case TIMED_OUT, CONNECT_FAILED, FULL -> waited(outcome == Outcome.FULL ? window : took, now);
         }
