--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -115,9 +115,10 @@
     /** The wait that own forwards meet now: the time in which as many are sent as are out, less the work. */
     double ownWait(int i, double now) {
         born = born == 0 ? now : born;
-        double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9), few = FEW / window;
+        double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9);
         double work = perExchange(i, now);
-        return Math.max(0, (allOut + few * (work + metWait.at(now))) / (rate + few) - work);
+        double met = work + metWait.at(now);
+        return Math.max(0, (allOut + FEW) / (rate + FEW / met) - work);
     }
 
     double perExchange(int i, double now) {
