--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -21,7 +21,7 @@
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period, born;
+    private double quick, answers, pace, period, born, told;
     private int allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
@@ -82,13 +82,14 @@
         use[i] = delivered ? u : 1;
         held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
-        double told = u + h * worth(i, now);
+        told += rated[i] > 0 && rated[i] < window ? (rated[i] - told) / (told == 0 ? 1 : FEW * FEW) : 0;
+        double busy = u + h * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        report[i] = delivered ? told : Math.max(told, mean(i, now));
+        report[i] = delivered ? busy : Math.max(busy, mean(i, now));
         reportedAt[i] = now;
         sends[i] = 0;
         int at = fleet.location[i] % typical.length;
-        typical[at] = Math.max(0.1, mean(i, now) * (told > mean(i, now) ? 1 + NOTCH : 1 - NOTCH));
+        typical[at] = Math.max(0.1, mean(i, now) * (busy > mean(i, now) ? 1 + NOTCH : 1 - NOTCH));
         heardAt[at] = now;
     }
 
@@ -122,7 +123,7 @@
     }
 
     double perExchange(int i, double now) {
-        return i < 0 ? 0 : (rated[i] > 0 && rated[i] < window ? rated[i] : pace) / fleet.coldShare(i, now);
+        return i < 0 ? 0 : (told > 0 ? told : pace) / fleet.coldShare(i, now);
     }
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
