--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -42,6 +42,7 @@
         horizon = FADE * window;
         quick = window / 16;
         pace = quick;
+        told = places.rate() < 0 ? 0 : quick;
         ownRate = new Faded(memory);
         metWait = new Faded(MET * window);
         typical = new double[1];
@@ -82,7 +83,7 @@
         use[i] = delivered ? u : 1;
         held[i] = h;
         rated[i] = u / figure(figures, places.rate(), 0);
-        told += rated[i] > 0 && rated[i] < window ? (rated[i] - told) / (told == 0 ? 1 : FEW * FEW) : 0;
+        told += rated[i] > 0 && rated[i] < window ? u * (rated[i] - told) / (FEW * FEW) : 0;
         double busy = u + h * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
         report[i] = delivered ? busy : Math.max(busy, mean(i, now));
