--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -7,7 +7,7 @@
 final class Admission extends Stage {
     private static final double CROWD = 4;
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
-    private static final double LEAST_SHARE = 0.15, MOST_SHARE = 0.65;
+    private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
     private final Selection selection;
     private final Estimate estimate;
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -11,7 +11,6 @@
     private static final double SPREAD = 2, STEP = 0.02;
     /** How many own outcomes the pace is taken over. */
     private static final int FEW = 8;
-    private static final double NOTCH = 0.1;
 
     /** The window of the design page, which is the shortest contract time; spans in which things fade. */
     final double window, memory, horizon;
@@ -25,7 +24,7 @@
     private int allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
-    private final double[] typical, heardAt;
+    private final Faded heard, heards;
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, suspected = {}, suspectedAt = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
@@ -45,9 +44,8 @@
         told = places.rate() < 0 ? 0 : quick;
         ownRate = new Faded(memory);
         metWait = new Faded(MET * window);
-        typical = new double[1];
-        heardAt = new double[1];
-        Arrays.fill(typical, 0.5);
+        heard = new Faded(horizon);
+        heards = new Faded(horizon);
     }
 
     void listed() {
@@ -89,9 +87,8 @@
         report[i] = delivered ? busy : Math.max(busy, mean(i, now));
         reportedAt[i] = now;
         sends[i] = 0;
-        int at = fleet.location[i] % typical.length;
-        typical[at] = Math.max(0.1, mean(i, now) * (busy > mean(i, now) ? 1 + NOTCH : 1 - NOTCH));
-        heardAt[at] = now;
+        heard.add(busy, now);
+        heards.add(1, now);
     }
 
     private static double figure(double[] figures, int place, double otherwise) {
@@ -100,8 +97,7 @@
 
     /** The mean of the reports heard lately and a half; of averages, those of its own location. */
     private double mean(int i, double now) {
-        int at = fleet.location[i] % typical.length;
-        return 0.5 + (typical[at] - 0.5) * Math.exp((heardAt[at] - now) / memory);
+        return (0.5 + heard.at(now)) / (1 + heards.at(now));
     }
 
     /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -127,8 +127,9 @@
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double known = estimate.old() || estimate.averages ? 0 : estimate.trust(x.best, now);
-        return known * estimate.wait(x.best, now) + (1 - known) * estimate.ownWait(x.best, now);
+        double own = estimate.ownWait(x.best, now);
+        return estimate.old() || estimate.averages ? own
+                : Math.max((1 - estimate.trust(x.best, now)) * own, estimate.wait(x.best, now));
     }
 
     /**
