--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,7 +5,7 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    private static final double CROWD = 4;
+    private static final double CROWD = 3;
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
     private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
 
