--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -180,7 +180,7 @@
         allOut--;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
-            pace += (took / (1 + f.ahead) - pace) / Math.min(++answers, FEW);
+            pace += (took / (1 + (old() ? held[i] : f.ahead)) - pace) / Math.min(++answers, old() ? FEW * FEW : FEW);
         }
         switch (outcome) {
             case DELIVERED -> {
