--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -5,7 +5,6 @@
 
 /** The design's figure: a backend's last report plus own sends since times one exchange's worth. */
 final class Estimate {
-    private static final double CLIP = 8;
     /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125;
     /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
@@ -188,9 +187,9 @@
                 double step = Math.max(STEP, 1 / (3 + answers));
                 quick = answers == 1 ? Math.max(took, window / 1000)
                         : quick * (took < quick ? 1 - 3 * step : 1 + step);
-                waited(Math.max(0, Math.min(CLIP * perExchange(i, now), took - perExchange(i, now))), now);
+                waited(Math.max(0, took - perExchange(i, now)), now);
             }
-            case TIMED_OUT, CONNECT_FAILED, FULL -> waited(Math.min(CLIP * perExchange(i, now), outcome == Outcome.FULL ? window : took), now);
+            case TIMED_OUT, CONNECT_FAILED, FULL -> waited(outcome == Outcome.FULL ? window : took, now);
         }
     }
 
