--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -80,8 +80,11 @@
         period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - gap) / 16 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
-        rated[i] = u / figure(figures, places.rate(), 0);
-        told += rated[i] > 0 && rated[i] < window ? u * (rated[i] - told) / (FEW * FEW) : 0;
+        double s = u / figure(figures, places.rate(), 0);
+        if (s > 0 && s < window) {
+            told += u * (s - told) / (FEW * FEW);
+            rated[i] += (s - rated[i]) * (rated[i] == 0 ? 1 : 2.0 / FEW);
+        }
         double busy = u + h * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
         report[i] = delivered ? busy : Math.max(busy, mean(i, now));
@@ -125,8 +128,9 @@
 
     /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
     private double serviceTime(int i, double now) {
-        double s = rated[i] > 0 && rated[i] < window ? rated[i] : quick * fleet.meanPower / fleet.power[i];
-        return Math.max(quick / SPREAD, Math.min(quick * SPREAD, s)) / fleet.coldShare(i, now);
+        double usual = told > 0 ? told : quick;
+        double s = rated[i] > 0 ? rated[i] : usual * fleet.meanPower / fleet.power[i];
+        return quick / usual * Math.max(usual / SPREAD, Math.min(usual * SPREAD, s)) / fleet.coldShare(i, now);
     }
 
     /** The utilisation that one exchange adds if the others send alike; no more than a whole window's. */
@@ -149,7 +153,7 @@
     }
 
     double doubt(int i, double now) {
-        return 1e-6 + (1 - trust(i, now)) * worth(i, now);
+        return 1e-6 + (1 - trust(i, now)) * worth(i, now) * (old() ? 3 : 1);
     }
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
