--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -153,7 +153,7 @@
     }
 
     double doubt(int i, double now) {
-        return 1e-6 + (1 - trust(i, now)) * worth(i, now) * (old() ? 3 : 1);
+        return 1e-6 + (1 - trust(i, now)) * worth(i, now);
     }
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
