--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,9 +5,10 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    private static final double CROWD = 3;
     /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
     private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
+    /** How many exchanges' work may be waited for, times the share: a longer queue turns backends slow. */
+    private static final double CROWD = 3;
 
     private final Selection selection;
     private final Estimate estimate;
@@ -35,8 +36,9 @@
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
-        double wait = selection.expectedWait(x, now), limit = share(rank) * (x.contract - now);
-        limit = Math.min(limit, CROWD * share(rank) * estimate.perExchange(x.best, now));
+        double wait = selection.expectedWait(x, now), most = CROWD * estimate.perExchange(x.best, now);
+        most = estimate.old() ? most : estimate.memory;
+        double limit = share(rank) * Math.min(x.contract - now, most);
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -9,6 +9,8 @@
     private static final double SOUND = 0.05;
     /** The sequential test suspends when a sick backend explains the outcomes this many times better. */
     private static final double SUSPEND_AT = Math.log(1000);
+    /** The windows of use that count against a backend as good as suspended. */
+    private static final double SUSPICION = 2;
     /** A suspension doubles with each trial that fails, to this many windows. */
     private static final double LONGEST = 8;
     /** At most this share of the ready backends is suspended; beyond it the fault is more likely shared. */
@@ -108,14 +110,17 @@
         super.ended(f, outcome, took, now, turn);
     }
 
+    /** Danger: a proxy that sends there seldom would take many errors before the test suspends. */
+    @Override
+    double suspicion(int i) {
+        return SUSPICION * score[i * tests] / SUSPEND_AT;
+    }
+
     /** One step of the sequential test: as bad as the fleet, or halfway from there to always bad. */
     private void judge(int i, int test, boolean bad, double now, Turn turn) {
         int k = i * tests + test;
         double step = bad ? Math.log((1 + usualBad) / 2 / usualBad) : Math.log(0.5);
         score[k] = suspendedUntil[k] > 0 ? score[k] : Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
-        if (test == 0) {
-            estimate.suspect(i, score[k] / SUSPEND_AT, now);
-        }
         boolean onTrial = suspendedUntil[k] > 0 && suspendedUntil[k] <= now;
         if (onTrial && bad) {
             score[k] = Math.min(LONGEST * SUSPEND_AT, 2 * score[k]);
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -14,19 +14,19 @@
 
     /** The window of the design page, which is the shortest contract time; spans in which things fade. */
     final double window, memory, horizon;
-    /** Reports say utilisation alone, which is an average that stays while hundreds of proxies act on it. */
-    final boolean averages;
     private final Settings.Reports places;
     private final Fleet fleet;
     private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
-    private double quick, answers, pace, period, born, told;
+    private double quick, answers, pace;
+    /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
+    private double period, told, born;
     private int allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded heard, heards;
 
-    private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, suspected = {}, suspectedAt = {};
+    private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
     boolean othersHeard;
     private double[] others = {}, use = {}, held = {};
@@ -35,7 +35,6 @@
         this.fleet = fleet;
         balancers = s.balancers();
         places = s.reports();
-        averages = places.held() < 0;
         window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
         memory = MEMORY * window;
         horizon = FADE * window;
@@ -53,19 +52,15 @@
         reportedAt = Arrays.copyOf(reportedAt, fleet.size);
         sends = Arrays.copyOf(sends, fleet.size);
         rated = Arrays.copyOf(rated, fleet.size);
-        suspected = Arrays.copyOf(suspected, fleet.size);
-        suspectedAt = Arrays.copyOf(suspectedAt, fleet.size);
         others = Arrays.copyOf(others, fleet.size);
         use = Arrays.copyOf(use, fleet.size);
         held = Arrays.copyOf(held, fleet.size);
     }
 
-    /**
-     * A report overwrites the estimate and clears the sends; exchanges held add their work to it. Danger:
-     * one that comes with an answer was made while that exchange was held, so the idle would look busy.
-     */
+    /** A report overwrites the estimate and clears the sends; exchanges held add their work to it. */
     void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
         double u = figure(figures, places.utilisation(), 0);
+        // Danger: one that comes with an answer counts the exchange answered, so the idle would look busy.
         double itself = places.countsAnswered() && answer && delivered ? 1 : 0;
         double h = Math.max(0, figure(figures, places.held(), 0) - itself);
         if (figures == null || !(u + h >= 0)) {
@@ -87,7 +82,7 @@
         }
         double busy = u + h * worth(i, now);
         // Danger: a backend that errors quickly reports the lowest figure and draws traffic.
-        report[i] = delivered ? busy : Math.max(busy, mean(i, now));
+        report[i] = delivered ? busy : Math.max(busy, mean(now));
         reportedAt[i] = now;
         sends[i] = 0;
         heard.add(busy, now);
@@ -98,70 +93,48 @@
         return place >= 0 && figures != null && place < figures.length ? figures[place] : otherwise;
     }
 
-    /** The mean of the reports heard lately and a half; of averages, those of its own location. */
-    private double mean(int i, double now) {
+    /** The mean of the reports heard lately and a half. */
+    private double mean(double now) {
         return (0.5 + heard.at(now)) / (1 + heards.at(now));
     }
 
-    /** The mean wait met lately, over four outcomes at least, so that none decides; it fades. */
-    private void waited(double wait, double now) {
-        metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
-    }
-
     /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
     double wait(int i, double now) {
         return Math.max(0, of(i, now) - 1) / worth(i, now) * perExchange(i, now);
     }
 
-    /** The wait that own forwards meet now: the time in which as many are sent as are out, less the work. */
+    /** The wait that own forwards meet now, by Little's law, where reports are old. */
     double ownWait(int i, double now) {
         born = born == 0 ? now : born;
         double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9);
         double work = perExchange(i, now);
-        double met = work + metWait.at(now);
-        return Math.max(0, (allOut + FEW) / (rate + FEW / met) - work);
+        // Danger: one that is out at a thin proxy would look like a jam, so a few met lately count with it.
+        return Math.max(0, (allOut + FEW) / (rate + FEW / (work + metWait.at(now))) - work);
     }
 
+    /** The time that one exchange's work takes there. */
     double perExchange(int i, double now) {
         return i < 0 ? 0 : (told > 0 ? told : pace) / fleet.coldShare(i, now);
     }
 
-    /** Utilisation by exchanges a second where reports carry these, else a quick answer's time. */
-    private double serviceTime(int i, double now) {
+    /** The utilisation that one exchange adds if the others send alike, no more than a whole window's. */
+    double worth(int i, double now) {
         double usual = told > 0 ? told : quick;
-        double s = rated[i] > 0 ? rated[i] : usual * fleet.meanPower / fleet.power[i];
-        return quick / usual * Math.max(usual / SPREAD, Math.min(usual * SPREAD, s)) / fleet.coldShare(i, now);
-    }
-
-    /** The utilisation that one exchange adds if the others send alike; no more than a whole window's. */
-    private double worth(int i, double now) {
-        return Math.min(1, quick * balancers / window) * serviceTime(i, now) / quick;
+        double share = rated[i] > 0 ? rated[i] / usual : fleet.meanPower / fleet.power[i];
+        return Math.min(1, quick * balancers / window) * Math.max(1 / SPREAD, Math.min(SPREAD, share))
+                / fleet.coldShare(i, now);
     }
 
     double trust(int i, double now) {
         return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
     }
 
-    /** What own outcomes say against a backend counts as its use, long before it is suspended. */
-    void suspect(int i, double share, double now) {
-        suspected[i] = share;
-        suspectedAt[i] = now;
-    }
-
-    double suspicion(int i, double now) {
-        return suspected[i] * Math.exp((suspectedAt[i] - now) / memory);
-    }
-
-    double doubt(int i, double now) {
-        return 1e-6 + (1 - trust(i, now)) * worth(i, now);
-    }
-
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
     double of(int i, double now) {
-        double trust = trust(i, now), mean = mean(i, now);
+        double trust = trust(i, now), mean = mean(now);
         double base = mean + trust * (report[i] - mean);
         double own = trust * sends[i] + (1 - trust) * fleet.out[i];
-        if (othersHeard && !averages) {
+        if (othersHeard) {
             // What is out is known of all, so the report adds how busy it was, and what it held beyond that.
             own = Math.max(fleet.out[i] + others[i], trust * (held[i] + sends[i]));
             mean = Math.min(1, mean);
@@ -182,23 +155,23 @@
         int i = f.backend;
         fleet.out[i]--;
         allOut--;
-        if (outcome == Outcome.DELIVERED || outcome == Outcome.TIMED_OUT) {
+        boolean good = outcome == Outcome.DELIVERED;
+        if (good || outcome == Outcome.TIMED_OUT) {
             // Danger: where all turn slow only the quickest are delivered, and the rest must count too.
-            pace += (took / (1 + (old() ? held[i] : f.ahead)) - pace) / Math.min(++answers, old() ? FEW * FEW : FEW);
+            // What an old report says is ahead is no measure; what the answer's own report says is.
+            double ahead = old() ? held[i] : f.ahead;
+            pace += (took / (1 + ahead) - pace) / Math.min(++answers, old() ? FEW * FEW : FEW);
         }
-        switch (outcome) {
-            case DELIVERED -> {
-                double step = Math.max(STEP, 1 / (3 + answers));
-                quick = answers == 1 ? Math.max(took, window / 1000)
-                        : quick * (took < quick ? 1 - 3 * step : 1 + step);
-                waited(Math.max(0, took - perExchange(i, now)), now);
-            }
-            case TIMED_OUT, CONNECT_FAILED, FULL -> waited(outcome == Outcome.FULL ? window : took, now);
+        if (good) {
+            double step = Math.max(STEP, 1 / (3 + answers));
+            quick = answers == 1 ? Math.max(took, window / 1000)
+                    : quick * (took < quick ? 1 - 3 * step : 1 + step);
+        }
+        if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan) {
+            double wait = Math.max(0, outcome == Outcome.FULL ? window : took - (good ? perExchange(i, now) : 0));
+            // Over four outcomes at least, so that none decides; it fades, so that who sheds asks again.
+            metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
         }
-    }
-
-    double meanWork() {
-        return pace;
     }
 
     /** Whether reports are refreshed so seldom that one is old when it comes. */
@@ -211,6 +184,6 @@
     }
 
     void forget(int i) {
-        reportedAt[i] = rated[i] = suspected[i] = sends[i] = others[i] = 0;
+        reportedAt[i] = rated[i] = sends[i] = others[i] = 0;
     }
 }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -8,12 +8,14 @@
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
     private final double coldFrom, coldTime;
+    private final boolean sizes;
     private final Chance chance;
     int size;
     boolean[] ready = {};
     int[] location = {}, cell = {}, out = {};
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
     double[] started = {}, startSeen = {}, power = {};
+    /** Of those that are ready, the mean size as listed. */
     double meanPower = 1;
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
@@ -21,6 +23,7 @@
     Fleet(Settings s, Chance chance) {
         coldFrom = s.rules().coldFrom();
         coldTime = s.rules().cold();
+        sizes = s.sizes();
         this.chance = chance;
     }
 
@@ -33,7 +36,7 @@
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
-            power[i] = line.size();
+            power[i] = sizes ? line.size() : 1;
             started[i] = Math.max(line.fresh() ? 0 : started[i], line.started());
             startSeen[i] = line.fresh() ? 0 : startSeen[i];
         }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -31,7 +31,7 @@
         this.chance = chance;
         here = s.location();
         rounds = !s.limits().probes() ? 0
-                : (int) Math.min(estimate.averages ? 1 : ROUNDS, MOST_COST / ASKED / s.charges().probe());
+                : (int) Math.min(ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
@@ -75,9 +75,10 @@
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
-            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now) + 2 * estimate.suspicion(i, now)
+            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
                     + (fleet.location[i] == here ? 0 : cross)
-                    - Math.log(1 - chance.next()) * estimate.doubt(i, now);
+                    + (estimate.old() ? 1 - estimate.trust(i, now) : 1e-6)
+                    * (suspicion(i) - Math.log(1 - chance.next()) * estimate.worth(i, now));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
                 order[at] = order[at - 1];
             }
@@ -97,7 +98,7 @@
             return false;
         }
         x.asks++;
-        x.asked = Arrays.copyOf(fleet.order, Math.min(estimate.averages ? 1 : ASKED, part));
+        x.asked = Arrays.copyOf(fleet.order, Math.min(ASKED, part));
         for (int i : x.asked) {
             if (askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
                 askedAt[i] = now;
@@ -122,13 +123,13 @@
         return found > 0;
     }
 
-    /** The wait to expect: at the least loaded backend, and as met lately as far as that is not known. */
+    /** The wait to expect: at the least loaded backend, and as own forwards meet it where reports are old. */
     double expectedWait(Exchange x, double now) {
         if (x.best < 0) {
             return Double.POSITIVE_INFINITY;
         }
         double own = estimate.ownWait(x.best, now);
-        return estimate.old() || estimate.averages ? own
+        return estimate.old() ? own
                 : Math.max((1 - estimate.trust(x.best, now)) * own, estimate.wait(x.best, now));
     }
 
--- a/src/main/java/lemondrift/model/Listed.java
+++ b/src/main/java/lemondrift/model/Listed.java
@@ -6,6 +6,11 @@
  */
 public record Listed(int backend, boolean fresh, int location, int cell, State state, double started,
         double size) {
+    /** Danger: a size that is no positive number would make service times none. */
+    public Listed {
+        size = size > 0 && size < Double.POSITIVE_INFINITY ? size : 1;
+    }
+
     /** One whose size is not told. */
     public Listed(int backend, boolean fresh, int location, int cell, State state, double started) {
         this(backend, fresh, location, cell, state, started, 1);
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -5,7 +5,15 @@
 /** What a deployment states at start; times in seconds, charges and shares as fractions. */
 public record Settings(int balancers, int locations, int location, boolean listOnRequest,
         List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
-        Reports reports, Limits limits, Rules rules, Charges charges) {
+        Reports reports, Limits limits, Rules rules, Charges charges, boolean sizes) {
+
+    /** The same where lists tell no sizes that hold. */
+    public Settings(int balancers, int locations, int location, boolean listOnRequest,
+            List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
+            Reports reports, Limits limits, Rules rules, Charges charges) {
+        this(balancers, locations, location, listOnRequest, grades, tenantQuota, excessBenefit, marksRetries,
+                reports, limits, rules, charges, false);
+    }
 
     /**
      * Load reports: where they come from, and at which place each figure stands (-1: not given). Where the
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -103,7 +103,8 @@
         entry.location = !member.has("locality") ? entry.location
                 : Math.max(0, locations.indexOf(member.get("locality").getAsString()));
         entry.cell = member.has("cell") ? number(member, "cell").intValue() : entry.cell;
-        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started));
+        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started,
+                member.has("size") ? number(member, "size").doubleValue() : 1));
         return entry;
     }
 
--- a/src/main/java/lemondrift/settings/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -42,7 +42,7 @@
         for (int i = 0; i < quota.length; i++) {
             quota[i] = number("realms." + i + ".quotaPerS");
         }
-        boolean onRequest = text("membershipMode", "pushed").equals("on_request");
+        boolean onRequest = choice("membershipMode", "pushed", "on_request").equals("on_request");
         return new Settings((int) number("siblings"), list("localities").size(),
                 (int) number("zone"), onRequest, List.copyOf(grades), quota,
                 number("excessBenefit", 1), text("clients.marksRetry", "false").equals("true"), reports(),
@@ -52,13 +52,29 @@
                 new Settings.Rules(number("invariants.coldFrom"), number("invariants.cold") / 1000,
                         number("invariants.fallMultiple"), number("invariants.overloadFor") / 1000,
                         number("invariants.askWithin", 10_000) / 1000),
-                new Settings.Charges(number("charges.crossZone", 0), number("charges.probe", 0)));
+                new Settings.Charges(number("charges.crossZone", 0), number("charges.probe", 0)),
+                sizes(choice("weights", "off", "none", "nominal", "rough", "live")));
+    }
+
+    /** Danger: live sizes move with the load that they are to predict, so they are no sizes. */
+    private static boolean sizes(String weights) {
+        return weights.equals("nominal") || weights.equals("rough");
+    }
+
+    /** One of some words, the first of them where there is none. */
+    private String choice(String key, String... words) {
+        String value = text(key, words[0]);
+        if (!Arrays.asList(words).contains(value)) {
+            throw new BadInput("setting " + key + ": " + value + " is none of " + String.join(", ", words));
+        }
+        return value;
     }
 
     private Settings.Reports reports() {
         List<String> names = list("report.names");
         boolean all = names.contains("inflight");
-        return new Settings.Reports(text("report.how", "off").equals("inline"), names.indexOf("util"),
+        boolean inline = choice("report.how", "off", "inline", "on_probe").equals("inline");
+        return new Settings.Reports(inline, names.indexOf("util"),
                 names.indexOf(all ? "inflight" : "queue"), all, names.indexOf("qps"));
     }
 
@@ -103,9 +119,14 @@
     public double number(String key) {
         String value = text(key, null);
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            // Danger: what is not finite or below zero makes estimates none, and the first backend the best.
+            if (number >= 0 && number < Double.POSITIVE_INFINITY) {
+                return number;
+            }
         } catch (NumberFormatException e) {
             throw new BadInput("setting " + key + ": not a number: " + value);
         }
+        throw new BadInput("setting " + key + ": out of range: " + value);
     }
 }
