--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -36,9 +36,8 @@
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
         }
-        double wait = selection.expectedWait(x, now), most = CROWD * estimate.perExchange(x.best, now);
-        most = estimate.old() ? most : estimate.memory;
-        double limit = share(rank) * Math.min(x.contract - now, most);
+        double wait = selection.expectedWait(x, now), most = CROWD * estimate.workTime(x.best, now);
+        double limit = share(rank) * Math.min(x.contract - now, estimate.old() ? most : estimate.memory);
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -4,10 +4,9 @@
 import lemondrift.model.*;
 
 /**
- * The decisions of one proxy. Make one from its Settings and seed, call a method for each thing that happens,
- * in order, with the time in seconds, and carry out the Turn it returns before the next call reuses it.
- * Call wake at or after Turn.wakeAt. The interface is this class and the types of lemondrift.model.
- * An exchange passes Expiry, Admission, Repeats, Eligibility and Selection; endings run back in reverse.
+ * The decisions of one proxy. Call a method for each thing that happens, in order, with the time in seconds,
+ * and carry out the Turn it returns before the next call reuses it; call wake at or after Turn.wakeAt. An
+ * exchange passes Expiry, Admission, Repeats, Eligibility and Selection; endings run back in reverse.
  */
 public final class Balancer {
     private final Turn turn = new Turn();
@@ -25,11 +24,10 @@
         fleet = new Fleet(settings, chance);
         estimate = new Estimate(settings, fleet);
         eligibility = new Eligibility(settings, fleet, estimate, chance);
-        selection = new Selection(settings, fleet, estimate, chance);
+        selection = new Selection(settings, fleet, estimate, eligibility, chance);
         lists = new Lists(settings, chance);
         admission = new Admission(settings, estimate, selection);
-        expiry.then(admission).then(new Repeats(settings, fleet))
-                .then(eligibility).then(selection);
+        expiry.then(admission).then(new Repeats(settings, fleet)).then(eligibility).then(selection);
     }
 
     public Turn exchangeArrived(double now, Exchange x) {
@@ -69,7 +67,7 @@
 
     /** How many exchanges the other proxies have out at a backend, as far as they have told. */
     public void othersHold(int backend, int exchanges) {
-        estimate.othersHold(backend, exchanges);
+        estimate.others[backend] = exchanges;
     }
 
     /** Whether any of them has told lately what it has out. */
@@ -77,6 +75,11 @@
         estimate.othersHeard = any;
     }
 
+    /** For watching: forwards made there by another's choice, or fewer by its own. */
+    public void followed(double now, int backend, int forwards) {
+        estimate.sent(backend, forwards, now);
+    }
+
     /** A question that changes nothing: what would be shed of a service grade on arrival now. */
     public Word word(double now, int grade) {
         return admission.word(grade, now).upTo(expiry.longestRetryAfter);
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -29,7 +29,7 @@
     private double answerTime;
 
     /** A test of all outcomes, then one for each grade's; 0 is not suspended; when a cold one has drained. */
-    private double[] score = {}, suspendedUntil = {}, drainedAt = {};
+    private double[] score = {}, suspendedUntil = {}, drainedAt = {}, judgedAt = {};
 
     Eligibility(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
@@ -45,6 +45,7 @@
         score = Arrays.copyOf(score, fleet.size * tests);
         suspendedUntil = Arrays.copyOf(suspendedUntil, fleet.size * tests);
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
+        judgedAt = Arrays.copyOf(judgedAt, fleet.size);
         for (int i = 0; i < fleet.size; i++) {
             if (fleet.started[i] >= fleet.startSeen[i]) {
                 startAfresh(i, now);
@@ -110,15 +111,15 @@
         super.ended(f, outcome, took, now, turn);
     }
 
-    /** Danger: a proxy that sends there seldom would take many errors before the test suspends. */
-    @Override
-    double suspicion(int i) {
-        return SUSPICION * score[i * tests] / SUSPEND_AT;
+    /** In windows of use. Danger: who sends there seldom would take many errors until the test suspends. */
+    double suspicion(int i, double now) {
+        return SUSPICION * score[i * tests] / SUSPEND_AT * Math.exp((judgedAt[i] - now) / estimate.memory);
     }
 
     /** One step of the sequential test: as bad as the fleet, or halfway from there to always bad. */
     private void judge(int i, int test, boolean bad, double now, Turn turn) {
         int k = i * tests + test;
+        judgedAt[i] = now;
         double step = bad ? Math.log((1 + usualBad) / 2 / usualBad) : Math.log(0.5);
         score[k] = suspendedUntil[k] > 0 ? score[k] : Math.max(0, Math.min(SUSPEND_AT, score[k] + step));
         boolean onTrial = suspendedUntil[k] > 0 && suspendedUntil[k] <= now;
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -7,10 +7,8 @@
 final class Estimate {
     /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125;
-    /** Floor and cap of a backend's service time to a quick answer's time, and the least step of that. */
-    private static final double SPREAD = 2, STEP = 0.02;
-    /** How many own outcomes the pace is taken over. */
-    private static final int FEW = 8;
+    /** Floor and cap of a service time to the usual, a quick answer's least step, outcomes to be sure by. */
+    private static final double SPREAD = 2, STEP = 0.02, FEW = 8;
 
     /** The window of the design page, which is the shortest contract time; spans in which things fade. */
     final double window, memory, horizon;
@@ -20,8 +18,7 @@
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
     private double quick, answers, pace;
     /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
-    private double period, told, born;
-    private int allOut;
+    private double period, told, born, allOut;
     /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded heard, heards;
@@ -29,7 +26,8 @@
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
     /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
     boolean othersHeard;
-    private double[] others = {}, use = {}, held = {};
+    double[] others = {};
+    private double[] use = {}, held = {};
 
     Estimate(Settings s, Fleet fleet) {
         this.fleet = fleet;
@@ -67,12 +65,11 @@
             return;
         }
         // Danger: one that is told again says nothing new, and clearing the sends would draw a herd to it.
-        double gap = now - reportedAt[i];
-        if (reportedAt[i] > 0 && delivered && u > 0 && u == use[i]) {
-            period += Math.max(0, gap - period) / 4;
+        if (reportedAt[i] > 0 && delivered && u > 0 && u == use[i] && h == held[i]) {
+            period += Math.max(0, now - reportedAt[i] - period) / 4;
             return;
         }
-        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - gap) / 16 : 0;
+        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - now + reportedAt[i]) / 16 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
         double s = u / figure(figures, places.rate(), 0);
@@ -93,27 +90,25 @@
         return place >= 0 && figures != null && place < figures.length ? figures[place] : otherwise;
     }
 
-    /** The mean of the reports heard lately and a half. */
     private double mean(double now) {
         return (0.5 + heard.at(now)) / (1 + heards.at(now));
     }
 
     /** How long an exchange waits for its work to begin where the utilisation is estimated above one. */
     double wait(int i, double now) {
-        return Math.max(0, of(i, now) - 1) / worth(i, now) * perExchange(i, now);
+        return Math.max(0, of(i, now) - 1) / worth(i, now) * workTime(i, now);
     }
 
     /** The wait that own forwards meet now, by Little's law, where reports are old. */
     double ownWait(int i, double now) {
         born = born == 0 ? now : born;
         double rate = ownRate.at(now) / (1 - Math.exp((born - now) / memory) + 1e-9);
-        double work = perExchange(i, now);
+        double work = workTime(i, now);
         // Danger: one that is out at a thin proxy would look like a jam, so a few met lately count with it.
         return Math.max(0, (allOut + FEW) / (rate + FEW / (work + metWait.at(now))) - work);
     }
 
-    /** The time that one exchange's work takes there. */
-    double perExchange(int i, double now) {
+    double workTime(int i, double now) {
         return i < 0 ? 0 : (told > 0 ? told : pace) / fleet.coldShare(i, now);
     }
 
@@ -144,11 +139,12 @@
         return (fleet.coldShare(i, now) < 1 ? Math.max(base, mean) : base) + own * worth(i, now);
     }
 
-    void sent(int i, double now) {
-        sends[i]++;
-        fleet.out[i]++;
-        allOut++;
-        ownRate.add(1 / memory, now);
+    /** So many forwards more; fewer where one of watching's own was never made. */
+    void sent(int i, int forwards, double now) {
+        sends[i] = Math.max(0, sends[i] + forwards);
+        fleet.out[i] += forwards;
+        allOut += forwards;
+        ownRate.add(forwards / memory, now);
     }
 
     void ended(Forward f, Outcome outcome, double took, double now) {
@@ -168,7 +164,8 @@
                     : quick * (took < quick ? 1 - 3 * step : 1 + step);
         }
         if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan) {
-            double wait = Math.max(0, outcome == Outcome.FULL ? window : took - (good ? perExchange(i, now) : 0));
+            double wait = Math.max(0, took - (good ? workTime(i, now) : 0));
+            wait = outcome == Outcome.FULL ? window : wait;
             // Over four outcomes at least, so that none decides; it fades, so that who sheds asks again.
             metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
         }
@@ -179,10 +176,6 @@
         return period > horizon;
     }
 
-    void othersHold(int i, int exchanges) {
-        others[i] = exchanges;
-    }
-
     void forget(int i) {
         reportedAt[i] = rated[i] = sends[i] = others[i] = 0;
     }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -15,7 +15,6 @@
     int[] location = {}, cell = {}, out = {};
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
     double[] started = {}, startSeen = {}, power = {};
-    /** Of those that are ready, the mean size as listed. */
     double meanPower = 1;
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -16,6 +16,7 @@
 
     private final Fleet fleet;
     private final Estimate estimate;
+    private final Eligibility eligibility;
     private final Chance chance;
     private final int here, rounds;
     private final double crossing, meanBenefit, patience;
@@ -25,17 +26,17 @@
     /** When a probe that is still out was sent, 0 if there is none, and the figure last ranked by. */
     private double[] askedAt = {}, figure = {};
 
-    Selection(Settings s, Fleet fleet, Estimate estimate, Chance chance) {
+    Selection(Settings s, Fleet fleet, Estimate estimate, Eligibility eligibility, Chance chance) {
         this.fleet = fleet;
         this.estimate = estimate;
+        this.eligibility = eligibility;
         this.chance = chance;
         here = s.location();
-        rounds = !s.limits().probes() ? 0
-                : (int) Math.min(ROUNDS, MOST_COST / ASKED / s.charges().probe());
+        rounds = !s.limits().probes() ? 0 : (int) Math.min(ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
         benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         meanBenefit = Arrays.stream(benefit).average().orElse(1);
-        patience = estimate.window / 4;
+        patience = PATIENCE * estimate.window;
     }
 
     void listed() {
@@ -78,7 +79,7 @@
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
                     + (fleet.location[i] == here ? 0 : cross)
                     + (estimate.old() ? 1 - estimate.trust(i, now) : 1e-6)
-                    * (suspicion(i) - Math.log(1 - chance.next()) * estimate.worth(i, now));
+                    * (eligibility.suspicion(i, now) - Math.log(1 - chance.next()) * estimate.worth(i, now));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
                 order[at] = order[at - 1];
             }
@@ -125,19 +126,13 @@
 
     /** The wait to expect: at the least loaded backend, and as own forwards meet it where reports are old. */
     double expectedWait(Exchange x, double now) {
-        if (x.best < 0) {
-            return Double.POSITIVE_INFINITY;
-        }
-        double own = estimate.ownWait(x.best, now);
-        return estimate.old() ? own
-                : Math.max((1 - estimate.trust(x.best, now)) * own, estimate.wait(x.best, now));
+        return x.best < 0 ? Double.POSITIVE_INFINITY
+                : estimate.old() ? estimate.ownWait(x.best, now) : estimate.wait(x.best, now);
     }
 
-    /**
-     * The least wait to expect in the part as it stands; infinite where none may take the exchange. Danger:
-     * who asks is behind with its work, and probes whose answers it has not read yet make nobody silent.
-     */
+    /** The least wait to expect in the part as it stands; infinite where none may take the exchange. */
     double leastWait(Exchange x, double now) {
+        // Danger: who asks is behind, and probes whose answers it has not read yet make nobody silent.
         return Arrays.stream(fleet.order).limit(part(now)).filter(i -> super.mayTake(x, i, now))
                 .mapToDouble(i -> estimate.wait(i, now)).min().orElse(Double.POSITIVE_INFINITY);
     }
@@ -150,7 +145,7 @@
         x.asks = 0;
         x.draws = 0;
         turn.sends.add(x.latest);
-        estimate.sent(x.best, now);
+        estimate.sent(x.best, 1, now);
     }
 
     @Override
@@ -166,7 +161,7 @@
     /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
     Exchange released(double now) {
         Exchange done = kept.stream().filter(x -> x.over || now >= x.keptUntil
-                || Arrays.stream(x.asked).anyMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
+                || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
         kept.remove(done);
         return done;
     }
--- a/src/main/java/lemondrift/decide/Stage.java
+++ b/src/main/java/lemondrift/decide/Stage.java
@@ -23,11 +23,6 @@
         return inner == null || inner.mayTake(x, i, now);
     }
 
-    /** What own outcomes say against a backend, in windows of use. */
-    double suspicion(int i) {
-        return inner == null ? 0 : inner.suspicion(i);
-    }
-
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
         inner.ended(f, outcome, took, now, turn);
     }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -22,7 +22,7 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
         List<String> reportNames, double idle, double connectTimeout, JsonObject known,
-        Bounds door, Peers.Place peers) {
+        Bounds door, Peers.Place peers, Settings shadow) {
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
     private static final int OTHERS = 40;
 
@@ -39,15 +39,20 @@
     Config with(Bounds other) {
         return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
                 locations,
-                reportNames, idle, connectTimeout, known, other, peers);
+                reportNames, idle, connectTimeout, known, other, peers, shadow);
     }
 
     private Config with(Peers.Place place) {
         return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations, reportNames, idle, connectTimeout, known, door, place);
+                locations, reportNames, idle, connectTimeout, known, door, place, shadow);
     }
 
-    /** What the files named in an environment say: PROXY_CONFIG, and PROXY_DOOR where there is one. */
+    private Config watching(Settings other) {
+        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
+                locations, reportNames, idle, connectTimeout, known, door, peers, other);
+    }
+
+    /** What the files named in an environment say: PROXY_CONFIG, and the others where there are any. */
     static Config read(Map<String, String> environment) throws IOException {
         if (environment.get("PROXY_CONFIG") == null) {
             throw new BadInput("PROXY_CONFIG is not set");
@@ -57,7 +62,9 @@
         String door = environment.get("PROXY_DOOR");
         config = door == null ? config : config.with(DoorFile.read(Path.of(door), config.door));
         String peers = environment.get("PROXY_PEERS");
-        return peers == null ? config : config.with(PeersFile.read(Path.of(peers), config.settings, json));
+        config = peers == null ? config : config.with(PeersFile.read(Path.of(peers), config.settings, json));
+        String shadow = environment.get("PROXY_SHADOW");
+        return shadow == null ? config : config.watching(ShadowFile.read(Path.of(shadow), config, json));
     }
 
     static Config read(String json) {
@@ -83,7 +90,7 @@
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
                 reader.number("limits.connectTimeout", 250) / 1000, known(json),
-                DoorFile.usual(connections(sockets), settings), null);
+                DoorFile.usual(connections(sockets), settings), null, null);
     }
 
     /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import lemondrift.decide.Balancer;
@@ -17,9 +18,11 @@
 import lemondrift.model.Forward;
 import lemondrift.model.Listed;
 import lemondrift.model.Outcome;
+import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
 import lemondrift.peer.Holdings;
+import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +33,8 @@
     /** How many events are handled before the sockets are told what came of them. */
     private static final int AT_A_TIME = 32;
     private static final double LONGEST_WAIT = 10;
+    /** How often, in seconds, the log has what watching has counted. */
+    private static final double SHOWN = 60;
 
     /** Something that happened, and the exchange that it is about, if any. */
     private record Event(Exchange about, Supplier<Turn> call) {}
@@ -50,6 +55,9 @@
     private final Map<Integer, Integer> byTag = new HashMap<>();
     private int[] tags = {};
     private double wakeAt = Double.POSITIVE_INFINITY;
+    /** What other settings would have decided; null where nobody watches. */
+    private Shadow shadow;
+    private double shownAt;
     private int arrived;
     /** What the decisions would shed of each grade, as of the last time that the queue was long. */
     private volatile List<Word> words = List.of();
@@ -74,6 +82,33 @@
         });
     }
 
+    /** Counts what these settings would have decided otherwise; before the start. */
+    void watches(Settings settings, long seed) {
+        shadow = new Shadow(settings, seed);
+        shownAt = clock.now();
+    }
+
+    /** Danger: what goes wrong in watching must not touch an exchange, so it ends the watching alone. */
+    private void watch(Consumer<Shadow> event) {
+        if (shadow != null) {
+            try {
+                event.accept(shadow);
+            } catch (RuntimeException e) {
+                LOG.error("watching has ended", e);
+                shadow = null;
+            }
+        }
+    }
+
+    Shadow watched() {
+        return shadow;
+    }
+
+    private void show() {
+        shownAt = clock.now();
+        LOG.info("watching: {}", shadow.told());
+    }
+
     /** Danger: the owner is not woken, as what others have out matters only when it decides. */
     void told(int from, byte[] datagram) {
         told.add(new Told(from, datagram));
@@ -110,12 +145,16 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (shadow != null) {
+            show();
+        }
     }
 
     void arrived(Taken taken) {
         put(taken.exchange(), () -> {
             arrived++;
             open.put(taken.exchange(), taken);
+            watch(s -> s.arrived(clock.now(), taken.exchange()));
             return balancer.exchangeArrived(clock.now(), taken.exchange());
         });
     }
@@ -139,25 +178,32 @@
             if (holdings != null) {
                 holdings.ended(tags[f.backend]);
             }
-            return balancer.forwardEnded(clock.now(), f, outcome, took, wins || f.exchange.over, report);
+            boolean over = wins || f.exchange.over;
+            watch(s -> s.ended(clock.now(), f, outcome, took, over, report));
+            return balancer.forwardEnded(clock.now(), f, outcome, took, over, report);
         });
     }
 
     void probed(int backend, Outcome outcome, double[] report) {
         put(null, () -> {
             directory.letGo(backend);
+            watch(s -> s.probed(clock.now(), backend, outcome, report));
             return balancer.probeEnded(clock.now(), backend, outcome, report);
         });
     }
 
     void left(Exchange x) {
-        put(x, () -> x.over ? null : balancer.clientLeft(clock.now(), x));
+        put(x, () -> {
+            watch(s -> s.left(clock.now(), x));
+            return x.over ? null : balancer.clientLeft(clock.now(), x);
+        });
     }
 
     void listed(JsonObject list, boolean stale) {
         put(null, () -> {
             boolean whole = list.get("complete").getAsBoolean();
             List<Listed> lines = directory.listed(list, whole);
+            watch(s -> s.listed(clock.now(), whole, stale, lines));
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
             if (holdings != null) {
                 tag(lines);
@@ -184,6 +230,7 @@
         while (!Thread.interrupted()) {
             try {
                 double next = holdings == null ? wakeAt : Math.min(wakeAt, holdings.tellAt());
+                next = shadow == null ? next : Math.min(next, shadow.wakeAt());
                 double wait = Math.min(LONGEST_WAIT, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
@@ -202,6 +249,10 @@
                 if (wakeAt <= clock.now()) {
                     handle(new Event(null, () -> balancer.wake(clock.now())));
                 }
+                watch(s -> s.wake(clock.now()));
+                if (shadow != null && clock.now() >= shownAt + SHOWN) {
+                    show();
+                }
                 if (arrived > 0) {
                     hands.decided(arrived, clock.now() - began);
                     arrived = 0;
@@ -239,6 +290,7 @@
     }
 
     private void carryOut(Turn turn) {
+        watch(s -> s.decided(clock.now(), turn));
         turn.cancels.forEach(hands::cancel);
         for (Forward f : turn.sends) {
             directory.hold(f.backend);
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -11,6 +11,7 @@
 import lemondrift.model.Forward;
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Turn;
+import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -57,6 +58,9 @@
         longestExpiry = config.settings().grades().stream().mapToDouble(ServiceGrade::expiry).max().orElse(1);
         owner = new Owner(new Balancer(config.settings(), config.seed()), new Directory(config.locations()),
                 clock, new Sockets(io), config.settings().grades().size());
+        if (config.shadow() != null && dial == null) {
+            owner.watches(config.shadow(), config.seed());
+        }
         front = new Front(config, clock, worker, buffers, owner);
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner);
@@ -131,6 +135,11 @@
         worker.shutdown();
     }
 
+    /** What watching has counted; null where nobody watches. Once the owner has stopped. */
+    Shadow watched() {
+        return owner.watched();
+    }
+
     InetSocketAddress address() {
         return front.address();
     }
--- a/src/main/java/lemondrift/settings/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -12,6 +12,8 @@
 
 /** Turns path=value pairs, as both doors have them, into Settings; unknown keys are passed over. */
 public final class SettingsReader {
+    private static final double LEAST = 1e-9, MOST = 1e9;
+
     private final Map<String, String> pairs;
 
     public SettingsReader(Map<String, String> pairs) {
@@ -43,14 +45,16 @@
             quota[i] = number("realms." + i + ".quotaPerS");
         }
         boolean onRequest = choice("membershipMode", "pushed", "on_request").equals("on_request");
-        return new Settings((int) number("siblings"), list("localities").size(),
-                (int) number("zone"), onRequest, List.copyOf(grades), quota,
-                number("excessBenefit", 1), text("clients.marksRetry", "false").equals("true"), reports(),
+        int locations = list("localities").size();
+        return new Settings((int) between("siblings", 1, Integer.MAX_VALUE), locations,
+                (int) between("zone", 0, locations - 1), onRequest, List.copyOf(grades), quota,
+                number("excessBenefit", 1), flag("clients.marksRetry"), reports(),
                 new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
                         (int) number("limits.mostForwards"),
                         flag("limits.retryAfter") ? number("limits.maxRetryAfter", 0) / 1000 : 0),
-                new Settings.Rules(number("invariants.coldFrom"), number("invariants.cold") / 1000,
-                        number("invariants.fallMultiple"), number("invariants.overloadFor") / 1000,
+                new Settings.Rules(between("invariants.coldFrom", LEAST, 1), number("invariants.cold") / 1000,
+                        between("invariants.fallMultiple", LEAST, MOST),
+                        between("invariants.overloadFor", LEAST, MOST) / 1000,
                         number("invariants.askWithin", 10_000) / 1000),
                 new Settings.Charges(number("charges.crossZone", 0), number("charges.probe", 0)),
                 sizes(choice("weights", "off", "none", "nominal", "rough", "live")));
@@ -85,14 +89,14 @@
 
     private ServiceGrade grade(String at) {
         return new ServiceGrade(number(at + "benefit"), number(at + "lateBenefit", 0),
-                number(at + "contractTime") / 1000, number(at + "expiry") / 1000,
+                between(at + "contractTime", LEAST, MOST) / 1000, between(at + "expiry", LEAST, MOST) / 1000,
                 switch (text(at + "effect", null)) {
                     case "retryable" -> Effect.PURE;
                     case "dedup" -> Effect.RECEIPTED;
                     case "fragile" -> Effect.EFFECTFUL;
                     default -> throw new BadInput("setting " + at + "effect: " + text(at + "effect", ""));
                 },
-                switch (text(at + "group", "cell")) {
+                switch (choice(at + "group", "cell", "zone", "all")) {
                     case "all" -> Group.ALL;
                     case "zone" -> Group.LOCATION;
                     default -> Group.CELL;
@@ -109,7 +113,15 @@
     }
 
     private boolean flag(String key) {
-        return text(key, "false").equals("true");
+        return choice(key, "false", "true").equals("true");
+    }
+
+    private double between(String key, double least, double most) {
+        double number = number(key);
+        if (number < least || number > most) {
+            throw new BadInput("setting " + key + ": out of range: " + text(key, null));
+        }
+        return number;
     }
 
     public double number(String key, double otherwise) {
--- /dev/null
+++ b/src/main/java/lemondrift/shadow/Shadow.java
@@ -0,0 +1,207 @@
+package lemondrift.shadow;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import lemondrift.decide.Balancer;
+import lemondrift.model.Exchange;
+import lemondrift.model.Forward;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.model.Settings;
+import lemondrift.model.Turn;
+
+/**
+ * The watching mode: a second module with other settings sees all that happens, is asked at each decision
+ * what it would do, and follows what was done. It counts by kind where it would have decided otherwise.
+ * Nothing of it is carried out; its chance, probes and budgets are its own, so that the deciding module never
+ * notices it.
+ */
+public final class Shadow {
+    /** What it would have done in place of what was done. */
+    public enum Kind { ANOTHER_BACKEND, CROSS, NOT_CROSS, SHED, NOT_SHED, SEND_AGAIN, NOT_SEND_AGAIN }
+
+    private static final int NONE = -1;
+
+    /** An exchange as the second module knows it, and the forward that stands for the one that is out. */
+    private static final class Copy {
+        final Exchange exchange;
+        Forward followed;
+
+        Copy(Exchange x) {
+            exchange = new Exchange(x.id, x.grade, x.tenant, x.arrived, x.expiry - x.arrived, x.retry);
+        }
+    }
+
+    private final Balancer balancer;
+    private final int here;
+    private final Map<Exchange, Copy> copies = new HashMap<>();
+    private final Map<Kind, Long> counts = new EnumMap<>(Kind.class);
+    private final Map<Integer, Integer> locations = new HashMap<>();
+    private long decisions;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    public Shadow(Settings settings, long seed) {
+        balancer = new Balancer(settings, seed);
+        here = settings.location();
+    }
+
+    public void listed(double now, boolean whole, boolean stale, List<Listed> lines) {
+        lines.forEach(line -> locations.put(line.backend(), line.location()));
+        settle(now, balancer.backendsListed(now, whole, stale, lines));
+    }
+
+    public void listFailed(double now) {
+        settle(now, balancer.listFailed(now));
+    }
+
+    public void arrived(double now, Exchange x) {
+        Copy copy = new Copy(x);
+        copies.put(x, copy);
+        settle(now, balancer.exchangeArrived(now, copy.exchange));
+    }
+
+    /** Compares with what the deciding module has done, and follows that. */
+    public void decided(double now, Turn turn) {
+        for (Forward f : turn.sends) {
+            Copy copy = copies.get(f.exchange);
+            if (copy != null) {
+                Forward own = own(copy);
+                compare(own == null ? NONE : own.backend, f.backend, f.number > 0);
+                follow(now, copy, own, f);
+            }
+        }
+        for (Turn.Answer a : turn.answers) {
+            Copy copy = copies.get(a.exchange());
+            if (copy != null && copy.followed == null) {
+                Forward own = own(copy);
+                compare(own == null ? NONE : own.backend, NONE, a.exchange().forwards > 0);
+            }
+            left(now, a.exchange());
+        }
+    }
+
+    public void ended(double now, Forward f, Outcome outcome, double took, boolean over, double[] report) {
+        Copy copy = copies.get(f.exchange);
+        if (copy == null || copy.followed == null) {
+            return;
+        }
+        Forward followed = copy.followed;
+        copy.followed = null;
+        settle(now, balancer.forwardEnded(now, followed, outcome, took, over, report));
+        if (over) {
+            copies.remove(f.exchange);
+        }
+    }
+
+    public void probed(double now, int backend, Outcome outcome, double[] report) {
+        settle(now, balancer.probeEnded(now, backend, outcome, report));
+    }
+
+    /** The exchange is over. Danger: a forward that is still out counts there until its end is told. */
+    public void left(double now, Exchange x) {
+        Copy copy = copies.get(x);
+        if (copy == null) {
+            return;
+        }
+        Forward own = own(copy);
+        settle(now, balancer.clientLeft(now, copy.exchange));
+        if (own != null) {
+            takeBack(now, copy.exchange, own);
+        }
+        if (copy.followed == null) {
+            copies.remove(x);
+        }
+    }
+
+    public void wake(double now) {
+        if (wakeAt <= now) {
+            settle(now, balancer.wake(now));
+        }
+    }
+
+    public double wakeAt() {
+        return wakeAt;
+    }
+
+    public long decisions() {
+        return decisions;
+    }
+
+    public long count(Kind kind) {
+        return counts.getOrDefault(kind, 0L);
+    }
+
+    /** One line: how many decisions were compared, and those that would have been others, by kind. */
+    public String told() {
+        StringBuilder text = new StringBuilder("decisions " + decisions);
+        for (Kind kind : Kind.values()) {
+            text.append(", would ").append(kind.name().toLowerCase(Locale.ROOT).replace('_', ' ')).append(' ')
+                    .append(count(kind));
+        }
+        return text.toString();
+    }
+
+    /** Its own choice that is not carried out yet; null where it would give up. */
+    private static Forward own(Copy copy) {
+        Forward latest = copy.exchange.latest;
+        return latest == null || latest.ended || latest == copy.followed ? null : latest;
+    }
+
+    private void compare(int own, int done, boolean again) {
+        decisions++;
+        if (own == NONE && done != NONE) {
+            count(again ? Kind.NOT_SEND_AGAIN : Kind.SHED, 1);
+        } else if (own != NONE && done == NONE) {
+            count(again ? Kind.SEND_AGAIN : Kind.NOT_SHED, 1);
+        } else if (own != done) {
+            count(Kind.ANOTHER_BACKEND, 1);
+            boolean crosses = locations.getOrDefault(own, here) != here;
+            if (crosses != (locations.getOrDefault(done, here) != here)) {
+                count(crosses ? Kind.CROSS : Kind.NOT_CROSS, 1);
+            }
+        }
+    }
+
+    private void count(Kind kind, long more) {
+        counts.merge(kind, more, Long::sum);
+    }
+
+    /** Puts the forward that was made in the place of its own choice, if there is one. */
+    private void follow(double now, Copy copy, Forward own, Forward done) {
+        Exchange x = copy.exchange;
+        if (own != null && own.backend == done.backend) {
+            copy.followed = own;
+            return;
+        }
+        if (own != null) {
+            takeBack(now, x, own);
+        }
+        x.over = false;
+        copy.followed = new Forward(x, done.backend, done.sent, done.timeOut, done.ahead);
+        x.latest = copy.followed;
+        x.forwards++;
+        x.out++;
+        balancer.followed(now, done.backend, 1);
+    }
+
+    private void takeBack(double now, Exchange x, Forward own) {
+        own.ended = true;
+        x.latest = own.earlier;
+        x.forwards--;
+        x.out--;
+        balancer.followed(now, own.backend, -1);
+    }
+
+    /** Danger: probes are not sent for it, and one that nobody answers would make its backend look silent. */
+    private void settle(double now, Turn turn) {
+        while (!turn.probes.isEmpty()) {
+            for (int backend : List.copyOf(turn.probes)) {
+                turn = balancer.probeEnded(now, backend, Outcome.MOOT, null);
+            }
+        }
+        wakeAt = turn.wakeAt;
+    }
+}
--- /dev/null
+++ b/src/test/java/lemondrift/settings/SettingsReaderTest.java
@@ -0,0 +1,42 @@
+package lemondrift.settings;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.api.Test;
+
+/** What a deployment states, and what can't be used of it. */
+class SettingsReaderTest {
+    private static final String TEXT = "siblings=3\nzone=0\nlimits.mostForwards=5\ninvariants.coldFrom=0.3\n"
+            + "invariants.cold=8000\ninvariants.fallMultiple=3\ninvariants.overloadFor=2000\n"
+            + "serviceGrades.count=1\nserviceGrades.0.benefit=1\nserviceGrades.0.contractTime=350\n"
+            + "serviceGrades.0.expiry=880\nserviceGrades.0.effect=retryable\n";
+
+    @Test
+    void sizesHoldOnlyWhereTheListSaysSo() {
+        assertFalse(SettingsReader.read(TEXT).sizes());
+        for (String weights : new String[] {"off", "none", "live"}) {
+            assertFalse(SettingsReader.read(TEXT + "weights=" + weights + "\n").sizes(), weights);
+        }
+        for (String weights : new String[] {"nominal", "rough"}) {
+            assertTrue(SettingsReader.read(TEXT + "weights=" + weights + "\n").sizes(), weights);
+        }
+    }
+
+    @Test
+    void whatCannotBeUsedIsNamed() {
+        String[][] bad = {{"charges.crossZone", "NaN"}, {"charges.crossZone", "-0.1"},
+            {"charges.probe", "much"},
+            {"charges.probe", "Infinity"}, {"weights", "heavy"}, {"membershipMode", "sometimes"},
+            {"report.how", "loudly"}, {"siblings", "0"}, {"siblings", "-3"}, {"zone", "2"},
+            {"invariants.coldFrom", "1.5"}, {"invariants.coldFrom", "0"},
+            {"serviceGrades.0.contractTime", "0"},
+            {"serviceGrades.0.effect", "sometimes"}, {"serviceGrades.0.group", "some"},
+            {"limits.probes", "2"}};
+        for (String[] each : bad) {
+            String line = each[0] + "=" + each[1] + "\n";
+            BadInput e = assertThrows(BadInput.class, () -> SettingsReader.read(TEXT + line), line);
+            assertTrue(e.getMessage().startsWith("setting " + each[0] + ": "), e.getMessage());
+            assertFalse(e.getMessage().contains("\n"));
+        }
+    }
+}
