--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -66,10 +66,10 @@
         }
         // Danger: one that is told again says nothing new, and clearing the sends would draw a herd to it.
         if (reportedAt[i] > 0 && delivered && u > 0 && u == use[i] && h == held[i]) {
-            period += Math.max(0, now - reportedAt[i] - period) / 4;
+            period += Math.max(0, now - reportedAt[i] - period) / 8;
             return;
         }
-        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - now + reportedAt[i]) / 16 : 0;
+        period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - now + reportedAt[i]) / 4 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
         double s = u / figure(figures, places.rate(), 0);
