--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -70,7 +70,6 @@
         estimate.others[backend] = exchanges;
     }
 
-    /** Whether any of them has told lately what it has out. */
     public void othersHeard(boolean any) {
         estimate.othersHeard = any;
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -126,8 +126,9 @@
 
     /** The wait to expect: at the least loaded backend, and as own forwards meet it where reports are old. */
     double expectedWait(Exchange x, double now) {
-        return x.best < 0 ? Double.POSITIVE_INFINITY
-                : estimate.old() ? estimate.ownWait(x.best, now) : estimate.wait(x.best, now);
+        double known = x.best < 0 ? 0 : estimate.trust(x.best, now);
+        return x.best < 0 ? Double.POSITIVE_INFINITY : estimate.old() ? estimate.ownWait(x.best, now)
+                : Math.max((1 - known) * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
     /** The least wait to expect in the part as it stands; infinite where none may take the exchange. */
