--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -163,7 +163,7 @@
             quick = answers == 1 ? Math.max(took, window / 1000)
                     : quick * (took < quick ? 1 - 3 * step : 1 + step);
         }
-        if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan) {
+        if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan && outcome != Outcome.MOOT) {
             double wait = Math.max(0, took - (good ? workTime(i, now) : 0));
             wait = outcome == Outcome.FULL ? window : wait;
             // Over four outcomes at least, so that none decides; it fades, so that who sheds asks again.
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -78,8 +78,8 @@
             int i = order[j], at = j;
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
                     + (fleet.location[i] == here ? 0 : cross)
-                    + (estimate.old() ? 1 - estimate.trust(i, now) : 1e-6)
-                    * (eligibility.suspicion(i, now) - Math.log(1 - chance.next()) * estimate.worth(i, now));
+                    + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now))
+                    * (eligibility.suspicion(i, now) - Math.log(1 - chance.next()) * estimate.worth(i, now)));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
                 order[at] = order[at - 1];
             }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -47,7 +47,8 @@
                 locations, reportNames, idle, connectTimeout, known, door, place, shadow);
     }
 
-    private Config watching(Settings other) {
+    /** The same with settings that are watched. */
+    Config watching(Settings other) {
         return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
                 locations, reportNames, idle, connectTimeout, known, door, peers, other);
     }
@@ -64,7 +65,7 @@
         String peers = environment.get("PROXY_PEERS");
         config = peers == null ? config : config.with(PeersFile.read(Path.of(peers), config.settings, json));
         String shadow = environment.get("PROXY_SHADOW");
-        return shadow == null ? config : config.watching(ShadowFile.read(Path.of(shadow), config, json));
+        return shadow == null ? config : config.watching(ShadowFile.read(Path.of(shadow), json));
     }
 
     static Config read(String json) {
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -103,8 +104,7 @@
         entry.location = !member.has("locality") ? entry.location
                 : Math.max(0, locations.indexOf(member.get("locality").getAsString()));
         entry.cell = member.has("cell") ? number(member, "cell").intValue() : entry.cell;
-        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started,
-                member.has("size") ? number(member, "size").doubleValue() : 1));
+        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started, size(member)));
         return entry;
     }
 
@@ -130,6 +130,11 @@
         return entry;
     }
 
+    /** Danger: a size that can't be read must not cost the backend, so it counts as not told. */
+    private static double size(JsonObject member) {
+        return member.get("size") instanceof JsonPrimitive size && size.isNumber() ? size.getAsDouble() : 1;
+    }
+
     private static Number number(JsonObject member, String key) {
         return member.has(key) ? member.get(key).getAsNumber() : 0;
     }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -90,13 +90,11 @@
 
     /** Danger: what goes wrong in watching must not touch an exchange, so it ends the watching alone. */
     private void watch(Consumer<Shadow> event) {
-        if (shadow != null) {
-            try {
-                event.accept(shadow);
-            } catch (RuntimeException e) {
-                LOG.error("watching has ended", e);
-                shadow = null;
-            }
+        try {
+            event.accept(shadow);
+        } catch (RuntimeException e) {
+            LOG.error("watching has ended", e);
+            shadow = null;
         }
     }
 
@@ -104,9 +102,11 @@
         return shadow;
     }
 
-    private void show() {
-        shownAt = clock.now();
-        LOG.info("watching: {}", shadow.told());
+    private void showAtTimes() {
+        if (shadow != null && clock.now() >= shownAt + SHOWN) {
+            shownAt = clock.now();
+            LOG.info("watching: {}", shadow.told());
+        }
     }
 
     /** Danger: the owner is not woken, as what others have out matters only when it decides. */
@@ -146,7 +146,7 @@
             Thread.currentThread().interrupt();
         }
         if (shadow != null) {
-            show();
+            LOG.info("watching: {}", shadow.told());
         }
     }
 
@@ -154,7 +154,9 @@
         put(taken.exchange(), () -> {
             arrived++;
             open.put(taken.exchange(), taken);
-            watch(s -> s.arrived(clock.now(), taken.exchange()));
+            if (shadow != null) {
+                watch(s -> s.arrived(clock.now(), taken.exchange()));
+            }
             return balancer.exchangeArrived(clock.now(), taken.exchange());
         });
     }
@@ -179,7 +181,9 @@
                 holdings.ended(tags[f.backend]);
             }
             boolean over = wins || f.exchange.over;
-            watch(s -> s.ended(clock.now(), f, outcome, took, over, report));
+            if (shadow != null) {
+                watch(s -> s.ended(clock.now(), f, outcome, took, over, report));
+            }
             return balancer.forwardEnded(clock.now(), f, outcome, took, over, report);
         });
     }
@@ -187,14 +191,18 @@
     void probed(int backend, Outcome outcome, double[] report) {
         put(null, () -> {
             directory.letGo(backend);
-            watch(s -> s.probed(clock.now(), backend, outcome, report));
+            if (shadow != null) {
+                watch(s -> s.probed(clock.now(), backend, outcome, report));
+            }
             return balancer.probeEnded(clock.now(), backend, outcome, report);
         });
     }
 
     void left(Exchange x) {
         put(x, () -> {
-            watch(s -> s.left(clock.now(), x));
+            if (shadow != null) {
+                watch(s -> s.left(clock.now(), x));
+            }
             return x.over ? null : balancer.clientLeft(clock.now(), x);
         });
     }
@@ -203,7 +211,9 @@
         put(null, () -> {
             boolean whole = list.get("complete").getAsBoolean();
             List<Listed> lines = directory.listed(list, whole);
-            watch(s -> s.listed(clock.now(), whole, stale, lines));
+            if (shadow != null) {
+                watch(s -> s.listed(clock.now(), whole, stale, lines));
+            }
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
             if (holdings != null) {
                 tag(lines);
@@ -249,9 +259,9 @@
                 if (wakeAt <= clock.now()) {
                     handle(new Event(null, () -> balancer.wake(clock.now())));
                 }
-                watch(s -> s.wake(clock.now()));
-                if (shadow != null && clock.now() >= shownAt + SHOWN) {
-                    show();
+                if (shadow != null) {
+                    watch(s -> s.wake(clock.now()));
+                    showAtTimes();
                 }
                 if (arrived > 0) {
                     hands.decided(arrived, clock.now() - began);
@@ -280,6 +290,9 @@
             if (event.about != null && !event.about.over) {
                 event.about.over = true;
                 answer(event.about, false, 0);
+                if (shadow != null) {
+                    watch(s -> s.left(clock.now(), event.about));
+                }
             }
             wakeAt = Math.min(wakeAt, clock.now() + 1);
         }
@@ -290,7 +303,9 @@
     }
 
     private void carryOut(Turn turn) {
-        watch(s -> s.decided(clock.now(), turn));
+        if (shadow != null) {
+            watch(s -> s.decided(clock.now(), turn));
+        }
         turn.cancels.forEach(hands::cancel);
         for (Forward f : turn.sends) {
             directory.hold(f.backend);
--- a/src/main/java/lemondrift/serve/Rehearsal.java
+++ b/src/main/java/lemondrift/serve/Rehearsal.java
@@ -35,7 +35,7 @@
     private final Config config;
     private final XnioWorker worker;
     private final CountDownLatch left = new CountDownLatch(EXCHANGES);
-    private long sent;
+    private long sent, told;
 
     private Rehearsal(Config config, XnioWorker worker) {
         this.config = config;
@@ -77,10 +77,7 @@
         FutureResult<StreamConnection> result = new FutureResult<>();
         try {
             ChannelPipe<StreamConnection, StreamConnection> pipe = worker.createFullDuplexPipeConnection();
-            String report = config.reportNames().stream().map(name -> name + "=0.1")
-                    .collect(Collectors.joining(", ", "TEXT ", ""));
-            talk(pipe.getRightSide(), request -> "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: " + report
-                    + "\r\nContent-Length: " + report.length() + "\r\n\r\n" + report);
+            talk(pipe.getRightSide(), request -> answer());
             result.setResult(pipe.getLeftSide());
             opened.handleEvent(pipe.getLeftSide());
         } catch (IOException e) {
@@ -89,6 +86,15 @@
         return result.getIoFuture();
     }
 
+    /** Danger: the same report each time would be taken for an old one, and nobody would be asked. */
+    private String answer() {
+        double load = 0.1 + ++told % 1000 / 1e4;
+        String report = config.reportNames().stream().map(name -> name + "=" + load)
+                .collect(Collectors.joining(", ", "TEXT ", ""));
+        return "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: " + report + "\r\nContent-Length: "
+                + report.length() + "\r\n\r\n" + report;
+    }
+
     private void client(Proxy proxy) {
         try {
             ChannelPipe<StreamConnection, StreamConnection> pipe = worker.createFullDuplexPipeConnection();
--- a/src/main/java/lemondrift/serve/ShadowFile.java
+++ b/src/main/java/lemondrift/serve/ShadowFile.java
@@ -18,7 +18,7 @@
 
     private ShadowFile() {}
 
-    static Settings read(Path file, Config config, String json) throws IOException {
+    static Settings read(Path file, String json) throws IOException {
         JsonObject whole = JsonParser.parseString(json).getAsJsonObject();
         Map<String, String> pairs = new HashMap<>();
         Config.flatten("", whole.has("settings") ? whole.get("settings") : new JsonObject(), pairs);
--- a/src/main/java/lemondrift/shadow/Shadow.java
+++ b/src/main/java/lemondrift/shadow/Shadow.java
@@ -1,6 +1,7 @@
 package lemondrift.shadow;
 
-import java.util.EnumMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -38,7 +39,7 @@
     private final Balancer balancer;
     private final int here;
     private final Map<Exchange, Copy> copies = new HashMap<>();
-    private final Map<Kind, Long> counts = new EnumMap<>(Kind.class);
+    private final long[] counts = new long[Kind.values().length];
     private final Map<Integer, Integer> locations = new HashMap<>();
     private long decisions;
     private double wakeAt = Double.POSITIVE_INFINITY;
@@ -53,10 +54,6 @@
         settle(now, balancer.backendsListed(now, whole, stale, lines));
     }
 
-    public void listFailed(double now) {
-        settle(now, balancer.listFailed(now));
-    }
-
     public void arrived(double now, Exchange x) {
         Copy copy = new Copy(x);
         copies.put(x, copy);
@@ -131,7 +128,7 @@
     }
 
     public long count(Kind kind) {
-        return counts.getOrDefault(kind, 0L);
+        return counts[kind.ordinal()];
     }
 
     /** One line: how many decisions were compared, and those that would have been others, by kind. */
@@ -153,20 +150,21 @@
     private void compare(int own, int done, boolean again) {
         decisions++;
         if (own == NONE && done != NONE) {
-            count(again ? Kind.NOT_SEND_AGAIN : Kind.SHED, 1);
+            counted(again ? Kind.NOT_SEND_AGAIN : Kind.SHED);
         } else if (own != NONE && done == NONE) {
-            count(again ? Kind.SEND_AGAIN : Kind.NOT_SHED, 1);
+            counted(again ? Kind.SEND_AGAIN : Kind.NOT_SHED);
         } else if (own != done) {
-            count(Kind.ANOTHER_BACKEND, 1);
+            counted(Kind.ANOTHER_BACKEND);
             boolean crosses = locations.getOrDefault(own, here) != here;
             if (crosses != (locations.getOrDefault(done, here) != here)) {
-                count(crosses ? Kind.CROSS : Kind.NOT_CROSS, 1);
+                counted(crosses ? Kind.CROSS : Kind.NOT_CROSS);
             }
         }
     }
 
-    private void count(Kind kind, long more) {
-        counts.merge(kind, more, Long::sum);
+
+    private void counted(Kind kind) {
+        counts[kind.ordinal()]++;
     }
 
     /** Puts the forward that was made in the place of its own choice, if there is one. */
@@ -197,10 +195,9 @@
 
     /** Danger: probes are not sent for it, and one that nobody answers would make its backend look silent. */
     private void settle(double now, Turn turn) {
-        while (!turn.probes.isEmpty()) {
-            for (int backend : List.copyOf(turn.probes)) {
-                turn = balancer.probeEnded(now, backend, Outcome.MOOT, null);
-            }
+        Deque<Integer> asked = new ArrayDeque<>(turn.probes);
+        while (!asked.isEmpty()) {
+            asked.addAll(balancer.probeEnded(now, asked.poll(), Outcome.MOOT, null).probes);
         }
         wakeAt = turn.wakeAt;
     }
