--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -19,7 +19,7 @@
     private double quick, answers, pace;
     /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
     private double period, told, born, allOut;
-    /** Own exchanges a second, the mean wait met lately, and the reports heard lately and their number. */
+    /** Own exchanges a second, the mean wait met, and the reports heard lately and their number. */
     final Faded ownRate, metWait;
     private final Faded heard, heards;
 
@@ -36,11 +36,10 @@
         window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
         memory = MEMORY * window;
         horizon = FADE * window;
-        quick = window / 16;
-        pace = quick;
+        pace = quick = window / 16;
         told = places.rate() < 0 ? 0 : quick;
         ownRate = new Faded(memory);
-        metWait = new Faded(MET * window);
+        metWait = new Faded(memory);
         heard = new Faded(horizon);
         heards = new Faded(horizon);
     }
@@ -164,9 +163,10 @@
                     : quick * (took < quick ? 1 - 3 * step : 1 + step);
         }
         if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan && outcome != Outcome.MOOT) {
-            double wait = Math.max(0, took - (good ? workTime(i, now) : 0));
-            wait = outcome == Outcome.FULL ? window : wait;
-            // Over four outcomes at least, so that none decides; it fades, so that who sheds asks again.
+            double wait = outcome == Outcome.FULL ? window : !good ? took : places.inAnswers() && !old()
+                    ? wait(i, now) : Math.max(0, took - workTime(i, now));
+            // Over four outcomes at least, so that none decides; it fades sooner where no report ends a jam.
+            metWait.span = old() ? MET * window : memory;
             metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
         }
     }
--- a/src/main/java/lemondrift/decide/Faded.java
+++ b/src/main/java/lemondrift/decide/Faded.java
@@ -4,7 +4,7 @@
 
 /** A sum that fades away over a span of time. */
 final class Faded {
-    private final double span;
+    double span;
     private double sum, at;
 
     Faded(double span) {
