Ties an eighth of an exchange wide where reports are old; tests for the hard cases left

Seen on review: a test of crossing (one backend in the own location, five in the other, one exchange at a time) sent most exchanges away: at fault was the tie in Selection.rank, an exchange wide, so that chance alone outbid the charge. Change: an eighth wide. Nothing changes where reports are fresh.

--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -7,8 +7,8 @@
 
 /** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
-    /** The share of exchanges that a utilisation higher by one makes late; the benefit asking may cost. */
-    private static final double HARM = 0.5, MOST_COST = 0.03;
+    /** The share that a utilisation higher by one makes late; what asking may cost; an old tie's width. */
+    private static final double HARM = 0.5, MOST_COST = 0.03, TIE = 0.125;
     /** How many are asked for reports at a time and how often, where probes are cheap. */
     private static final int ASKED = 3, ROUNDS = 4;
     /** A report trusted this much is fresh; an answer is awaited for this share of the window. */
@@ -78,8 +78,8 @@
             int i = order[j], at = j;
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
                     + (fleet.location[i] == here ? 0 : cross)
-                    + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now))
-                    * (eligibility.suspicion(i, now) - Math.log(1 - chance.next()) * estimate.worth(i, now)));
+                    + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now)) * (eligibility
+                    .suspicion(i, now) - TIE * Math.log(1 - chance.next()) * estimate.worth(i, now)));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
                 order[at] = order[at - 1];
             }
--- a/src/test/java/lemondrift/ShadowTest.java
+++ b/src/test/java/lemondrift/ShadowTest.java
@@ -31,7 +31,8 @@
                 w.arrive(chance.nextBoolean() ? 0 : 2);
             } else {
                 Outcome outcome = sound || kind < 8 ? Outcome.DELIVERED : Outcome.values()[chance.nextInt(6)];
-                w.end(open.remove(chance.nextInt(open.size())), outcome, chance.nextDouble(), chance.nextInt(3));
+                Forward f = open.remove(chance.nextInt(open.size()));
+                w.end(f, outcome, chance.nextDouble(), chance.nextInt(3));
             }
             open.addAll(w.sends.subList(before, w.sends.size()));
         }
--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -30,7 +30,8 @@
     }
 
     /** How many go to each backend; each ends after 0.01 s as told, its report the same as ever. */
-    private static int[] to(World w, int grade, int exchanges, double apart, Function<Integer, Outcome> ends) {
+    private static int[] to(World w, int grade, int exchanges, double apart,
+            Function<Integer, Outcome> ends) {
         int[] hits = new int[60];
         for (int n = 0; n < exchanges; n++) {
             w.wakeUntil(w.now + apart);
@@ -59,31 +60,28 @@
     void whoFailsFastIsLeftAfterOneErrorAndUsedAgainOnceSound() {
         World w = old(8);
         int errors = to(w, ONCE, 200, 0.1, i -> i == 0 ? Outcome.ERROR : Outcome.DELIVERED)[0];
-        assertTrue(errors <= 8, errors + " of 200 went to one that fails fast and reports that it is idle");
+        assertTrue(errors <= 3, errors + " of 200 went to one that fails fast and reports that it is idle");
         int again = to(w, ONCE, 1500, 0.1, i -> Outcome.DELIVERED)[0];
         assertTrue(again > 50, again + " of 1500: sound again, used again");
     }
 
     @Test
-    void aReportToldAgainDrawsNoHerd() {
-        World w = old(4);
-        List<Forward> open = new ArrayList<>();
-        int idle = 0;
+    void aReportToldAgainClearsNoSends() {
+        int herd = 0;
         for (int n = 0; n < 40; n++) {
-            w.now += 0.01;
-            Forward f = w.arrive(ONCE);
-            idle += f.backend == 0 ? 1 : 0;
-            // It alone answers, and tells again and again that it is as idle as it was.
-            if (f.backend == 0) {
-                w.end(f, Outcome.DELIVERED, 0.5, 0);
-            } else if (open.size() < 6) {
-                open.add(f);
-            } else {
-                w.end(open.remove(0), Outcome.DELIVERED, 0.5, 0);
-                open.add(f);
+            World w = old(2);
+            to(w, ONCE, n, 0.1, i -> Outcome.DELIVERED);
+            w.wakeUntil(w.now + 1);
+            List<Forward> out = new ArrayList<>();
+            for (int k = 0; k < 4; k++) {
+                out.add(w.arrive(ONCE));
             }
+            Forward first = out.get(0);
+            w.end(first, Outcome.DELIVERED, 0.5, 0);
+            assertEquals(first.backend, w.arrive(ONCE).backend, "one out against two");
+            herd += w.arrive(ONCE).backend == first.backend ? 1 : 0;
         }
-        assertTrue(idle <= 20, idle + " of 40 went to one that tells the same report again");
+        assertTrue(herd > 5 && herd < 35, herd + " of 40, with two out at each, went to one told idle again");
     }
 
     @Test
@@ -125,15 +123,15 @@
         Listed[] lines = IntStream.range(0, 6).mapToObj(i -> new Listed(i, false, i == 0 ? 0 : 1, 0,
                 Listed.State.READY, 0)).toArray(Listed[]::new);
         World w = world(false, lines);
-        assertTrue(to(w, ONCE, 200, 0.5, i -> Outcome.DELIVERED)[0] >= 190, "one at a time stays");
+        assertTrue(to(w, PURE, 200, 0.5, i -> Outcome.DELIVERED)[0] >= 190, "one at a time stays");
         List<Forward> open = new ArrayList<>();
         int away = 0;
         for (int n = 0; n < 200; n++) {
-            w.wakeUntil(w.now + 0.02);
+            w.wakeUntil(w.now + 0.003);
             Forward f = w.arrive(ONCE);
             away += f != null && f.backend != 0 ? 1 : 0;
             open.addAll(f == null ? List.of() : List.of(f));
-            if (open.size() > 4) {
+            if (open.size() > 2) {
                 w.end(open.remove(0), Outcome.DELIVERED, 0.5, 0);
             }
         }
--- a/src/test/java/lemondrift/settings/SettingsReaderTest.java
+++ b/src/test/java/lemondrift/settings/SettingsReaderTest.java
@@ -15,16 +15,17 @@
     void sizesHoldOnlyWhereTheSettingsSaySo() {
         assertFalse(SettingsReader.read(TEXT).sizes());
         for (String weights : "off none live nominal rough".split(" ")) {
-            assertEquals(weights.length() > 4, SettingsReader.read(TEXT + "weights=" + weights + "\n").sizes());
+            String text = TEXT + "weights=" + weights + "\n";
+            assertEquals(weights.length() > 4, SettingsReader.read(text).sizes(), weights);
         }
     }
 
     @Test
     void whatCannotBeUsedIsNamed() {
         for (String line : ("charges.crossZone=NaN charges.crossZone=-0.1 charges.probe=much "
-                + "charges.probe=Infinity weights=heavy membershipMode=sometimes report.how=loudly siblings=0 "
-                + "siblings=-3 zone=2 invariants.coldFrom=1.5 invariants.coldFrom=0 limits.probes=2 "
-                + "serviceGrades.0.contractTime=0 serviceGrades.0.effect=sometimes "
+                + "charges.probe=Infinity weights=heavy membershipMode=sometimes report.how=loudly "
+                + "siblings=0 siblings=-3 zone=2 invariants.coldFrom=1.5 invariants.coldFrom=0 "
+                + "limits.probes=2 serviceGrades.0.contractTime=0 serviceGrades.0.effect=sometimes "
                 + "serviceGrades.0.group=some").split(" ")) {
             BadInput e = assertThrows(BadInput.class, () -> SettingsReader.read(TEXT + line + "\n"), line);
             String key = line.substring(0, line.indexOf('='));
