--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -12,17 +12,17 @@
 
     private final Selection selection;
     private final Estimate estimate;
-    private final double[] benefit, quota;
+    private final double[] quota;
     private final Faded[] used;
     private final double excessBenefit, mostBenefit;
 
     Admission(Settings s, Estimate estimate, Selection selection) {
         this.estimate = estimate;
         this.selection = selection;
-        benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
-        mostBenefit = Arrays.stream(benefit).max().orElse(1);
+        mostBenefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).max().orElse(1);
         quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
-        used = Faded.many(quota.length, estimate.memory);
+        used = new Faded[quota.length];
+        Arrays.setAll(used, tenant -> new Faded(estimate.memory));
         excessBenefit = s.excessBenefit();
     }
 
@@ -31,7 +31,7 @@
         if (selection.asks(x, now, turn)) {
             return;
         }
-        double rank = benefit[x.grade] / mostBenefit;
+        double rank = x.rules.benefit() / mostBenefit;
         if (x.tenant < quota.length) {
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
             rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
@@ -52,8 +52,8 @@
     }
 
     /** What it would shed of a grade now, without asking or drawing anybody; changes nothing. */
-    Word word(int grade, double now) {
-        double wait = selection.leastWait(new Exchange(0, grade, 0, now, 0), now);
-        return new Word(wait / share(benefit[grade] / mostBenefit), Math.min(wait, estimate.window));
+    Word word(Exchange x, double now) {
+        double wait = selection.leastWait(x, now);
+        return new Word(wait / share(x.rules.benefit() / mostBenefit), Math.min(wait, estimate.window));
     }
 }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -10,6 +10,7 @@
  */
 public final class Balancer {
     private final Turn turn = new Turn();
+    private final List<ServiceGrade> grades;
     private final Fleet fleet;
     private final Estimate estimate;
     private final Expiry expiry;
@@ -20,6 +21,7 @@
 
     public Balancer(Settings settings, long seed) {
         Chance chance = new Chance(seed);
+        grades = settings.grades();
         expiry = new Expiry(settings);
         fleet = new Fleet(settings, chance);
         estimate = new Estimate(settings, fleet);
@@ -31,6 +33,7 @@
     }
 
     public Turn exchangeArrived(double now, Exchange x) {
+        x.rules = grades.get(x.grade);
         return turn(now, () -> expiry.take(x, now, turn));
     }
 
@@ -81,7 +84,14 @@
 
     /** A question that changes nothing: what would be shed of a service grade on arrival now. */
     public Word word(double now, int grade) {
-        return admission.word(grade, now).upTo(expiry.longestRetryAfter);
+        Exchange x = new Exchange(0, grade, 0, now, 0);
+        x.rules = grades.get(grade);
+        return admission.word(x, now).upTo(expiry.longestRetryAfter);
+    }
+
+    /** How many backends may be sent to, those left out for one grade only among them. */
+    public int usable() {
+        return eligibility.sound(0);
     }
 
     public Turn clientLeft(double now, Exchange x) {
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -138,8 +138,12 @@
 
     /** Danger: suspending most of the fleet for a fault that all share pushes the rest over. */
     private boolean maySuspend(int test) {
-        return 1 + Arrays.stream(fleet.order).filter(i -> suspendedUntil[i * tests + test] != 0).count()
-                <= MOST_SUSPENDED * fleet.order.length;
+        return fleet.order.length + 1 - sound(test) <= MOST_SUSPENDED * fleet.order.length;
+    }
+
+    /** How many of those that are ready a test does not suspend; 0 is that of all outcomes. */
+    int sound(int test) {
+        return (int) Arrays.stream(fleet.order).filter(i -> suspendedUntil[i * tests + test] == 0).count();
     }
 
     void probing(double now, Turn turn) {
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -125,8 +125,7 @@
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
     double of(int i, double now) {
-        double trust = trust(i, now), mean = mean(now);
-        double base = mean + trust * (report[i] - mean);
+        double trust = trust(i, now), mean = mean(now), base = mean + trust * (report[i] - mean);
         double own = trust * sends[i] + (1 - trust) * fleet.out[i];
         if (othersHeard) {
             // What is out is known of all, so the report adds how busy it was, and what it held beyond that.
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -9,7 +9,6 @@
     /** After so many tries of a grade, all with less time, the longest time was an odd one's. */
     private static final int ODD = 4;
 
-    private final ServiceGrade[] grades;
     /** The time left of a usual first try, by grade, and how many in a row had less. */
     private final double[] usual, since;
     private final boolean mayCancel, marked;
@@ -17,9 +16,8 @@
     private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
 
     Expiry(Settings s) {
-        grades = s.grades().toArray(new ServiceGrade[0]);
-        usual = new double[grades.length];
-        since = new double[grades.length];
+        usual = new double[s.grades().size()];
+        since = new double[usual.length];
         mayCancel = s.limits().cancel();
         marked = s.marksRetries();
         longestRetryAfter = s.limits().retryAfter();
@@ -27,12 +25,11 @@
 
     /** Takes a new exchange; where a late answer brings nothing, its useful time is the contract time. */
     void take(Exchange x, double now, Turn turn) {
-        ServiceGrade grade = grades[x.grade];
-        double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
+        double useful = x.rules.lateBenefit() > 0 ? x.rules.expiry() : x.rules.contractTime();
         // Danger: work done after the first try's time is lost, so a retry has less by what has passed.
         double left = x.expiry - now;
         boolean retry = marked ? x.retry && differs(left, usual[x.grade]) : isRetry(x.grade, left);
-        double age = retry ? Math.max(0, grade.expiry() - left) : 0;
+        double age = retry ? Math.max(0, x.rules.expiry() - left) : 0;
         usual[x.grade] = marked && !x.retry ? left : usual[x.grade];
         x.contract = Math.min(x.expiry, x.arrived + useful - age);
         open.add(x);
@@ -72,7 +69,7 @@
     void giveUp(Exchange x, double comeBack, double now, Turn turn) {
         if (!x.over) {
             x.over = true;
-            boolean shed = Repeats.mayShed(grades[x.grade], x);
+            boolean shed = Repeats.mayShed(x);
             turn.answers.add(new Turn.Answer(x, shed, shed ? Math.min(comeBack, longestRetryAfter) : 0));
             cancelAll(x, turn);
         }
--- a/src/main/java/lemondrift/decide/Faded.java
+++ b/src/main/java/lemondrift/decide/Faded.java
@@ -1,7 +1,5 @@
 package lemondrift.decide;
 
-import java.util.stream.Stream;
-
 /** A sum that fades away over a span of time. */
 final class Faded {
     double span;
@@ -11,10 +9,6 @@
         this.span = span;
     }
 
-    static Faded[] many(int count, double span) {
-        return Stream.generate(() -> new Faded(span)).limit(count).toArray(Faded[]::new);
-    }
-
     double at(double now) {
         return sum == 0 ? 0 : sum * Math.exp((at - now) / span);
     }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -7,22 +7,20 @@
     /** Further forwards stay under this share of first ones: a retry storm is never of our making. */
     private static final double RETRY_SHARE = 0.25;
 
-    private final ServiceGrade[] grades;
     private final int mostForwards;
     private final Fleet fleet;
     private double credit;
 
     Repeats(Settings s, Fleet fleet) {
-        grades = s.grades().toArray(new ServiceGrade[0]);
         mostForwards = s.limits().forwards();
         credit = mostForwards;
         this.fleet = fleet;
     }
 
     /** A shed reply promises that a retry is harmless. */
-    static boolean mayShed(ServiceGrade grade, Exchange x) {
-        return grade.effect() == Effect.PURE || x.mayHaveRun == null && x.out == 0
-                || grade.effect() == Effect.RECEIPTED && grade.group() == Group.ALL;
+    static boolean mayShed(Exchange x) {
+        return x.rules.effect() == Effect.PURE || x.mayHaveRun == null && x.out == 0
+                || x.rules.effect() == Effect.RECEIPTED && x.rules.group() == Group.ALL;
     }
 
     @Override
@@ -42,7 +40,7 @@
         while (f != null && f.backend != i) {
             f = f.earlier;
         }
-        return f == null && (x.mayHaveRun == null || mayRepeat(grades[x.grade], x.mayHaveRun, i, now))
+        return f == null && (x.mayHaveRun == null || mayRepeat(x.rules, x.mayHaveRun, i, now))
                 && super.mayTake(x, i, now);
     }
 
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -20,7 +20,6 @@
     private final Chance chance;
     private final int here, rounds;
     private final double crossing, meanBenefit, patience;
-    private final double[] benefit;
     private final Deque<Exchange> kept = new ArrayDeque<>();
     private double swapAt;
     /** When a probe that is still out was sent, 0 if there is none, and the figure last ranked by. */
@@ -34,8 +33,7 @@
         here = s.location();
         rounds = !s.limits().probes() ? 0 : (int) Math.min(ROUNDS, MOST_COST / ASKED / s.charges().probe());
         crossing = s.charges().crossing();
-        benefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
-        meanBenefit = Arrays.stream(benefit).average().orElse(1);
+        meanBenefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).average().orElse(1);
         patience = PATIENCE * estimate.window;
     }
 
@@ -72,7 +70,7 @@
 
     /** Ranks the part by estimate and, beyond it, crossing's charge as a share of the exchange's benefit. */
     private void rank(Exchange x, int part, double now) {
-        double cross = crossing / HARM * meanBenefit / Math.max(benefit[x.grade], meanBenefit / 100);
+        double cross = crossing / HARM * meanBenefit / Math.max(x.rules.benefit(), meanBenefit / 100);
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
--- a/src/main/java/lemondrift/door/Door.java
+++ b/src/main/java/lemondrift/door/Door.java
@@ -62,7 +62,7 @@
      * When something was told last, and the time for which the process stood still, which counts for nobody.
      */
     private double toldAt = Double.NEGATIVE_INFINITY, stoodStill;
-    private double drainBegan = Double.POSITIVE_INFINITY;
+    private double drainBegan = Double.POSITIVE_INFINITY, drainUntil;
 
     /** The seed decides which connections are kept to learn from. */
     public Door(Bounds bounds, Hands hands, long seed) {
@@ -135,7 +135,9 @@
         ending[i] = Reason.GONE;
         promised[i] = false;
         ahead[i] = false;
-        drainAt[i] = Double.POSITIVE_INFINITY;
+        // Danger: one that comes while all are sent away would stay for as long as it says nothing.
+        drainAt[i] = t >= drainBegan ? Math.max(drainUntil, t + bounds.firstWord() / 2)
+                : Double.POSITIVE_INFINITY;
         answers[i] = 0;
         turnedAway[i] = 0;
         came[i] = t;
@@ -387,6 +389,7 @@
      */
     public void drain(double now, double until) {
         drainBegan = time(now);
+        drainUntil = drainBegan + until - now;
         int count = in(State.NEW) + in(State.QUIET), rank = 0;
         for (State each : new State[] {State.QUIET, State.NEW}) {
             for (int i = orders.get(each).first(); i >= 0; i = orders.get(each).after(i)) {
@@ -395,6 +398,12 @@
         }
     }
 
+    /** Ends the drain: those that are still there stay, and answers close as they usually do. */
+    public void resume() {
+        drainBegan = Double.POSITIVE_INFINITY;
+        Arrays.fill(drainAt, Double.POSITIVE_INFINITY);
+    }
+
     /** How many connections are in a state. */
     public int in(State each) {
         return orders.get(each).size();
--- a/src/main/java/lemondrift/model/Exchange.java
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -9,6 +9,8 @@
     public final double expiry;
     /** Its client has said that this is not its first try. */
     public final boolean retry;
+    /** What holds for it, whatever is stated later; set when it arrives. */
+    public ServiceGrade rules;
     public boolean over;
     public boolean begun;
     public int forwards;
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import lemondrift.model.Forward;
 import lemondrift.model.Outcome;
+import lemondrift.tally.Tally;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
@@ -46,18 +47,21 @@
     private final Dial dial;
     private final ByteBufferPool buffers;
     private final Owner owner;
+    private final Tally tally;
     private final Links.Budget budget;
     private final XnioExecutor.Key sweep;
     private final Map<Integer, Links> links = new HashMap<>();
     private final Map<Forward, Call> calls = new HashMap<>();
 
-    Backends(Config config, Clock clock, XnioIoThread io, Dial dial, ByteBufferPool buffers, Owner owner) {
+    Backends(Config config, Clock clock, XnioIoThread io, Dial dial, ByteBufferPool buffers, Owner owner,
+            Tally tally) {
         this.config = config;
         this.clock = clock;
         this.io = io;
         this.dial = dial;
         this.buffers = buffers;
         this.owner = owner;
+        this.tally = tally;
         budget = new Links.Budget((int) (SHARE * config.connections()));
         double limit = IDLE_SHARE * config.idle();
         sweep = io.executeAtInterval(() -> links.values().forEach(l -> l.closeIdleSince(clock.now() - limit)),
@@ -78,7 +82,7 @@
         // The time that passed in the queues is the exchange's own.
         double within = f.sent + f.timeOut - clock.now();
         Call call = Call.make(links(f.backend, to), request(taken, Math.round(f.timeOut * 1000)), MOST_BODY,
-                config.connectTimeout(), within, answer -> {
+                config.connectTimeout(), within, tally::dispatched, answer -> {
                     calls.remove(f);
                     owner.ended(f, outcome(answer), clock.now() - f.sent, report(answer), answer);
                 });
@@ -124,9 +128,9 @@
     void probe(int backend, InetSocketAddress to) {
         String path = config.reportNames().isEmpty() ? "/healthz" : "/load";
         Call call = Call.make(links(backend, to), Call.get(path, "backend"), MOST_BODY,
-                config.connectTimeout(), config.connectTimeout(), answer -> owner.probed(backend,
-                        outcome(answer), report(new String(answer.body(), StandardCharsets.ISO_8859_1),
-                                config.reportNames())));
+                config.connectTimeout(), config.connectTimeout(), () -> { },
+                answer -> owner.probed(backend, outcome(answer), report(new String(answer.body(),
+                        StandardCharsets.ISO_8859_1), config.reportNames())));
         if (call == null) {
             owner.probed(backend, Outcome.MOOT, null);
         } else {
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -17,22 +17,27 @@
     private final ByteBuffer request;
     private final AnswerReader reader;
     private final Consumer<Answer> end;
+    private final Runnable written;
     private Links.Link link;
     private IoFuture<StreamConnection> connect;
     private XnioExecutor.Key connectTimer, timer;
     private boolean done;
 
-    private Call(Links links, byte[] request, int most, Consumer<Answer> end) {
+    private Call(Links links, byte[] request, int most, Runnable written, Consumer<Answer> end) {
         this.links = links;
         this.request = ByteBuffer.wrap(request);
         this.reader = new AnswerReader(most);
+        this.written = written;
         this.end = end;
     }
 
-    /** A call to be started; end hears of its answer once, not after abandon. Null if there is no room. */
+    /**
+     * A call to be started; written hears that its last byte is with the system, end of its answer, once and
+     * not after abandon. Null if there is no room.
+     */
     static Call make(Links links, byte[] request, int most, double connectTimeout, double within,
-            Consumer<Answer> end) {
-        Call call = new Call(links, request, most, end);
+            Runnable written, Consumer<Answer> end) {
+        Call call = new Call(links, request, most, written, end);
         call.link = links.idle();
         if (call.link == null && !links.reserve()) {
             return null;
@@ -92,6 +97,9 @@
                 }
             }
             sink.suspendWrites();
+            if (!done) {
+                written.run();
+            }
         } catch (IOException e) {
             broken(false);
         }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -18,11 +18,14 @@
 import lemondrift.settings.BadInput;
 import lemondrift.settings.SettingsReader;
 
-/** What one proxy is told at start: the decisions' settings, the names at its door, and its own addresses. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Settings settings, List<String> gradeNames, List<String> tenantNames, List<String> locations,
-        List<String> reportNames, double idle, double connectTimeout, JsonObject known,
-        Bounds door, Peers.Place peers, Settings shadow) {
+/**
+ * What one proxy is told at start: the decisions' settings, the names at its door, and its own addresses; the
+ * operators' is null where there is none.
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
+        long seed, int sockets, Settings settings, List<String> gradeNames, List<String> tenantNames,
+        List<String> locations, List<String> reportNames, double idle, double connectTimeout,
+        JsonObject known, Bounds door, Peers.Place peers, Settings shadow) {
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
     private static final int OTHERS = 40;
 
@@ -35,22 +38,24 @@
         return Math.max(OTHERS, sockets - OTHERS);
     }
 
-    /** The same with another door. */
-    Config with(Bounds other) {
-        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations,
-                reportNames, idle, connectTimeout, known, other, peers, shadow);
+    private Config with(InetSocketAddress admin, Bounds door, Peers.Place peers, Settings shadow) {
+        return new Config(name, listen, admin, discovery, seed, sockets, settings, gradeNames, tenantNames,
+                locations, reportNames, idle, connectTimeout, known, door, peers, shadow);
     }
 
-    private Config with(Peers.Place place) {
-        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations, reportNames, idle, connectTimeout, known, door, place, shadow);
+    /** The same with another door. */
+    Config with(Bounds other) {
+        return with(admin, other, peers, shadow);
     }
 
     /** The same with settings that are watched. */
     Config watching(Settings other) {
-        return new Config(name, listen, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations, reportNames, idle, connectTimeout, known, door, peers, other);
+        return with(admin, door, peers, other);
+    }
+
+    /** The same with an operators' address. */
+    Config operatedAt(InetSocketAddress other) {
+        return with(other, door, peers, shadow);
     }
 
     /** What the files named in an environment say: PROXY_CONFIG, and the others where there are any. */
@@ -60,10 +65,13 @@
         }
         String json = Files.readString(Path.of(environment.get("PROXY_CONFIG")));
         Config config = read(json);
+        String admin = environment.get("PROXY_ADMIN_ADDR");
+        config = admin == null ? config : config.operatedAt(address("PROXY_ADMIN_ADDR", admin));
         String door = environment.get("PROXY_DOOR");
         config = door == null ? config : config.with(DoorFile.read(Path.of(door), config.door));
         String peers = environment.get("PROXY_PEERS");
-        config = peers == null ? config : config.with(PeersFile.read(Path.of(peers), config.settings, json));
+        config = peers == null ? config : config.with(config.admin, config.door,
+                PeersFile.read(Path.of(peers), config.settings, json), config.shadow);
         String shadow = environment.get("PROXY_SHADOW");
         return shadow == null ? config : config.watching(ShadowFile.read(Path.of(shadow), json));
     }
@@ -86,6 +94,7 @@
         int sockets = (int) all.number("limits.sockets", 1024);
         Settings settings = reader.settings();
         return new Config(all.text("name", "proxy"), address("listen", all.text("listen", null)),
+                json.has("admin_addr") ? address("admin_addr", all.text("admin_addr", null)) : null,
                 address("discovery", all.text("discovery", null)), seed(all.text("seed", "0")),
                 sockets, settings, names(inner, "serviceGrades"),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -48,6 +48,11 @@
         return entries.get(backend).id;
     }
 
+    /** How many backends the list has, draining ones too. */
+    int listed() {
+        return (int) entries.stream().filter(e -> !e.gone).count();
+    }
+
     /** Something speaks of the backend by its index, which stands for it until it is let go. */
     void hold(int backend) {
         entries.get(backend).held++;
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -29,6 +29,7 @@
 import lemondrift.model.Exchange;
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Word;
+import lemondrift.tally.Tally;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -55,6 +56,7 @@
     private Runnable first = () -> { };
     private final Clock clock;
     private final Owner owner;
+    private final Tally tally;
     private final XnioWorker worker;
     private final HttpOpenListener http;
     private final Visitors visitors;
@@ -65,7 +67,7 @@
     private volatile boolean draining, busy;
     private volatile double lastArrival;
 
-    Front(Config config, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner) {
+    Front(Config config, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner, Tally tally) {
         this.config = config;
         this.clock = clock;
         this.owner = owner;
@@ -73,7 +75,9 @@
         contractTime = config.settings().grades().stream().mapToDouble(ServiceGrade::contractTime).toArray();
         benefit = config.settings().grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
         intake = new Intake<>(Arrays.stream(contractTime).min().orElse(1));
-        visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), this::left);
+        visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), tally, this::left);
+        this.tally = tally;
+        tally.grades(config.gradeNames());
         // Danger: with Undertow's buffer for pipelined answers one would wait for the next request's end.
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, Fields.MOST).set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -107,6 +111,16 @@
         worker.getIoThread().execute(() -> visitors.drain(until));
     }
 
+    /** Clients are no longer sent away. */
+    void resume() {
+        draining = false;
+        worker.getIoThread().execute(visitors::resume);
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
     boolean isQuietSince(double time) {
         return !busy && lastArrival <= time;
     }
@@ -126,6 +140,10 @@
         visitor.headRead();
         client.putAttachment(VISITOR, visitor);
         client.addExchangeCompleteListener((done, next) -> {
+            // What is turned away is counted with its answer, as its connection lingers.
+            if (done.isResponseStarted() && !isTurnedAway(done.getStatusCode())) {
+                count(done);
+            }
             visitor.answered();
             busy = visitors.open() > 0;
             next.proceed();
@@ -149,6 +167,22 @@
                 reject(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400));
     }
 
+    private void count(HttpServerExchange answered) {
+        tally.replied(only(answered.getRequestHeaders(), GRADE), reply(answered.getStatusCode()));
+    }
+
+    private static boolean isTurnedAway(int status) {
+        return status / 100 == 4;
+    }
+
+    private static Tally.Reply reply(int status) {
+        return switch (status) {
+            case Answer.OK -> Tally.Reply.SUCCESS;
+            case 503 -> Tally.Reply.OVERLOAD;
+            default -> Tally.Reply.ERROR;
+        };
+    }
+
     /** Danger: what Undertow reads leniently a backend may read in another way, and find a second request. */
     private static boolean isPlain(HttpServerExchange client) {
         HeaderMap headers = client.getRequestHeaders();
@@ -204,6 +238,7 @@
                 new IoCallback() {
                     @Override
                     public void onComplete(HttpServerExchange done, Sender sender) {
+                        count(done);
                         then.accept(done);
                     }
 
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -25,6 +25,9 @@
     /** So many exchanges that had arrived were decided, in so many seconds for all that was done. */
     void decided(int exchanges, double seconds);
 
+    /** So many backends are listed, and to so many of them nothing is sent now. */
+    void targets(int listed, int disabled);
+
     /** Tells the other proxies. */
     void tell(byte[] datagram);
 
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -220,10 +220,15 @@
             }
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
+            count();
             return turn;
         });
     }
 
+    private void count() {
+        hands.targets(directory.listed(), directory.listed() - balancer.usable());
+    }
+
     void listFailed() {
         put(null, () -> balancer.listFailed(clock.now()));
     }
@@ -324,6 +329,10 @@
         }
         turn.listCalls.forEach(hands::list);
         turn.notes.forEach(LOG::info);
+        // Who is avoided changes with a list or with a note on it.
+        if (!turn.notes.isEmpty()) {
+            count();
+        }
         wakeAt = turn.wakeAt;
     }
 
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -11,7 +11,9 @@
 import lemondrift.model.Forward;
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Turn;
+import lemondrift.serve.admin.Operated;
 import lemondrift.shadow.Shadow;
+import lemondrift.tally.Tally;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -31,9 +33,16 @@
     /** Seconds in which new clients may still come after a drain has begun, and the quiet that ends it. */
     private static final double STRAGGLERS = 0.55, QUIET = 0.25;
 
+    /**
+     * Seconds in which clients are sent away. Danger: whoever is still here later may bring one more request,
+     * at a time when operators take the proxy to be empty.
+     */
+    private static final double SENT_AWAY = 1.6;
+
     private static final OptionMap NO_DELAY = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final Clock clock = Clock.system();
+    private final Tally tally = new Tally();
     private final XnioWorker worker;
     private final Owner owner;
     private final Front front;
@@ -49,6 +58,11 @@
         this(config, worker(), null);
     }
 
+    /** The one that serves, on a worker that may stand already. */
+    Proxy(Config config, XnioWorker worker) {
+        this(config, worker, null);
+    }
+
     /** Its backends' connections are opened by dial, or where that is null on sockets. */
     Proxy(Config config, XnioWorker worker, Dial dial) {
         this.worker = worker;
@@ -61,9 +75,10 @@
         if (config.shadow() != null && dial == null) {
             owner.watches(config.shadow(), config.seed());
         }
-        front = new Front(config, clock, worker, buffers, owner);
+        front = new Front(config, clock, worker, buffers, owner, tally);
         watch = new Watch(config, clock, io, sockets, buffers, owner);
-        backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner);
+        backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
+                tally);
         known = config.known();
         peers = config.peers() == null || dial != null ? null : new Peers(config.peers(), owner);
         if (peers != null) {
@@ -94,7 +109,48 @@
     /** Follows a new configuration; only discovery's address changes while clients are served. */
     void reload(Config config) {
         LOG.info("configuration read again, discovery at {}", config.discovery());
-        worker.getIoThread().execute(() -> watch.move(config.discovery()));
+        worker.getIoThread().execute(() -> {
+            tally.reloaded(true);
+            watch.move(config.discovery());
+        });
+    }
+
+    /** A new configuration can't be used. */
+    void reloadFailed() {
+        worker.getIoThread().execute(() -> tally.reloaded(false));
+    }
+
+    /** What operators may ask of it. */
+    Operated operated() {
+        return new Operated() {
+            @Override
+            public boolean isReady() {
+                return phase == Phase.SERVING;
+            }
+
+            @Override
+            public Tally.Figures figures() {
+                return tally.figures();
+            }
+
+            @Override
+            public boolean quiesce() {
+                if (phase == Phase.SERVING && !front.isDraining()) {
+                    LOG.info("sends clients away");
+                    front.drain(clock.now() + SENT_AWAY);
+                }
+                return phase == Phase.SERVING;
+            }
+
+            @Override
+            public boolean resume() {
+                if (phase == Phase.SERVING && front.isDraining()) {
+                    LOG.info("takes clients again");
+                    front.resume();
+                }
+                return phase == Phase.SERVING;
+            }
+        };
     }
 
     /** Decides and forwards without a listener or discovery, on the list and the connections it is given. */
@@ -197,6 +253,11 @@
             wishes.add(() -> front.decided(exchanges, seconds));
         }
 
+        @Override
+        public void targets(int listed, int disabled) {
+            wishes.add(() -> tally.targets(listed, disabled));
+        }
+
         @Override
         public void tell(byte[] datagram) {
             wishes.add(() -> peers.tell(datagram));
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import lemondrift.serve.admin.Admin;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioWorker;
 
 /** Starts the real proxy from its environment and ends it on SIGTERM. */
 public final class Serve {
@@ -40,11 +42,17 @@
                     reload(proxy.get(), environment);
                 });
             }
+            XnioWorker worker = serving ? Proxy.worker() : null;
+            // Before the rehearsal, so that who asks meanwhile hears that it is not ready.
+            Admin admin = serving && config.admin() != null ? new Admin(config.admin(), worker) : null;
             rehearse(config);
             if (serving) {
-                proxy.set(new Proxy(config));
+                proxy.set(new Proxy(config, worker));
                 LOG.info("{} starts, listens on {}", config.name(), config.listen());
                 proxy.get().serve();
+                if (admin != null) {
+                    admin.operates(proxy.get().operated());
+                }
                 if (hungUp.get()) {
                     // The file may have been replaced after it was read for this start.
                     reload(proxy.get(), environment);
@@ -59,11 +67,13 @@
 
     /** Danger: two hang-ups in a row have a thread each, and the older file must not be followed last. */
     private static synchronized void reload(Proxy proxy, Map<String, String> environment) {
+        if (proxy == null) {
+            return;
+        }
         try {
-            if (proxy != null) {
-                proxy.reload(Config.read(environment));
-            }
+            proxy.reload(Config.read(environment));
         } catch (IOException | RuntimeException e) {
+            proxy.reloadFailed();
             LOG.warn("new configuration not used, the old one stays: {}", e.toString().replace('\n', ' '));
         }
     }
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -14,6 +14,7 @@
 import lemondrift.door.Door;
 import lemondrift.door.Reason;
 import lemondrift.model.Exchange;
+import lemondrift.tally.Tally;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -125,6 +126,7 @@
             if (!traces.add(id)) {
                 return false;
             }
+            tally.taken();
             trace = id;
             exchange = x;
             benefit = 0;
@@ -166,6 +168,9 @@
         private Exchange ended() {
             Exchange x = exchange;
             traces.remove(trace);
+            if (x != null) {
+                tally.ended();
+            }
             exchange = null;
             trace = null;
             return x;
@@ -191,6 +196,7 @@
     private final XnioIoThread io;
     private final Door door;
     private final double sweep;
+    private final Tally tally;
     private final Visitor[] byIndex;
     private final Map<StreamConnection, Visitor> all = new HashMap<>();
     private final Set<String> traces = new HashSet<>();
@@ -200,7 +206,8 @@
     private boolean makingRoom, stopped;
     private double toldAt = Double.NEGATIVE_INFINITY;
 
-    Visitors(Clock clock, XnioIoThread io, Bounds bounds, long seed, Consumer<Exchange> left) {
+    Visitors(Clock clock, XnioIoThread io, Bounds bounds, long seed, Tally tally, Consumer<Exchange> left) {
+        this.tally = tally;
         this.clock = clock;
         this.io = io;
         this.left = left;
@@ -316,6 +323,14 @@
         sweepEvery(sweep / DRAINING_SWEEPS);
     }
 
+    /** The door is as it was before it drained. */
+    void resume() {
+        LOG.info("the door takes clients again: {}", door.told());
+        door.resume();
+        sweeping.remove();
+        sweepEvery(sweep);
+    }
+
     void stop() {
         stopped = true;
         sweeping.remove();
--- /dev/null
+++ b/src/main/java/lemondrift/serve/admin/Operated.java
@@ -0,0 +1,17 @@
+package lemondrift.serve.admin;
+
+import lemondrift.tally.Tally;
+
+/** What operators may ask of the process; each returns at once. I/O thread only. */
+public interface Operated {
+    /** Whether this process can serve. */
+    boolean isReady();
+
+    Tally.Figures figures();
+
+    /** Sends clients away; false where it can't. */
+    boolean quiesce();
+
+    /** Takes clients again; false where it can't. */
+    boolean resume();
+}
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -172,6 +172,10 @@
     public void decided(int exchanges, double seconds) {
     }
 
+    @Override
+    public void targets(int listed, int disabled) {
+    }
+
     @Override
     public void tell(byte[] datagram) {
         tellings.add(datagram);
--- /dev/null
+++ b/src/test/java/lemondrift/tally/TallyTest.java
@@ -0,0 +1,61 @@
+package lemondrift.tally;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class TallyTest {
+    /** 0 takes one, 1 answers and ends one, 2 ends one whose client has gone. */
+    @Property
+    void inHandIsWhatWasTakenLessWhatHasEnded(@ForAll List<@IntRange(min = 0, max = 2) Integer> events) {
+        Tally tally = new Tally();
+        tally.grades(List.of("look"));
+        int open = 0, answered = 0, gone = 0, taken = 0;
+        for (int event : events) {
+            if (event == 0) {
+                tally.taken();
+                taken++;
+                open++;
+            } else if (open > 0) {
+                if (event == 1) {
+                    tally.replied("look", Tally.Reply.SUCCESS);
+                    answered++;
+                } else {
+                    gone++;
+                }
+                tally.ended();
+                open--;
+            }
+        }
+        Tally.Figures figures = tally.figures();
+        assertEquals(open, figures.concurrent());
+        assertEquals(answered, figures.replies().get("look")[Tally.Reply.SUCCESS.ordinal()]);
+        assertEquals(taken, answered + gone + figures.concurrent());
+    }
+
+    @Test
+    void aGradeThatIsDroppedKeepsItsCountsAndANewOneBeginsAtNone() {
+        Tally tally = new Tally();
+        tally.grades(List.of("look", "order"));
+        tally.replied("look", Tally.Reply.OVERLOAD);
+        tally.grades(List.of("order", "book"));
+        tally.replied("nobody's", Tally.Reply.ERROR);
+        assertArrayEquals(new long[] {0, 1, 0}, tally.figures().replies().get("look"));
+        assertArrayEquals(new long[3], tally.figures().replies().get("book"));
+        assertEquals(3, tally.figures().replies().size());
+    }
+
+    @Test
+    void figuresOnceReadDoNotChange() {
+        Tally tally = new Tally();
+        tally.grades(List.of("look"));
+        Tally.Figures figures = tally.figures();
+        tally.replied("look", Tally.Reply.ERROR);
+        tally.taken();
+        assertEquals(0, figures.replies().get("look")[2] + figures.concurrent());
+    }
+}
