--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.conduits.StreamSourceConduit;
+import org.xnio.nio.InheritedServer;
 
 /** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
 final class Front {
@@ -63,6 +65,8 @@
     private final Intake<Taken> intake;
     private final double[] contractTime, benefit;
     private AcceptingChannel<StreamConnection> server;
+    /** In its place where the process was given a socket. */
+    private InheritedServer inherited;
     private long taken;
     private volatile boolean draining, busy;
     private volatile double lastArrival;
@@ -85,6 +89,12 @@
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
     }
 
+    /** Accepts on a socket that the process was given, and that others may accept on as well. */
+    void listen(ServerSocketChannel given) throws IOException {
+        inherited = new InheritedServer(given, worker.getIoThread(), config.door().last(), this::accepted);
+        worker.getIoThread().execute(inherited::listen);
+    }
+
     void listen() throws IOException {
         // Danger: XNIO accepts again only when one closes at the low mark or under it, so with a lower
         // low mark places that are freed one by one would never be filled.
@@ -105,6 +115,13 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Who still comes is taken by others. Danger: a socket of its own left so would refuse them. */
+    void leaveGiven() {
+        if (inherited != null) {
+            worker.getIoThread().execute(inherited::stop);
+        }
+    }
+
     /** From now on answers close their connections, those without a word go by then; new ones are taken. */
     void drain(double until) {
         draining = true;
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -5,6 +5,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import lemondrift.decide.Balancer;
@@ -94,6 +95,11 @@
     }
 
     void serve() throws IOException {
+        serve(null);
+    }
+
+    /** On a listening socket that the process was given, or where that is null on one of its own. */
+    void serve(ServerSocketChannel given) throws IOException {
         if (peers != null) {
             peers.begin(worker);
             front.first(peers::receive);
@@ -101,7 +107,11 @@
         owner.listed(known, true);
         owner.start();
         worker.getIoThread().execute(watch::begin);
-        front.listen();
+        if (given == null) {
+            front.listen();
+        } else {
+            front.listen(given);
+        }
         phase = Phase.SERVING;
         LOG.info("serving");
     }
@@ -166,6 +176,7 @@
     /** Takes clients as long as they come, answers all that was taken, and returns. */
     void drain() throws InterruptedException {
         double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
+        front.leaveGiven();
         front.drain(began + STRAGGLERS);
         phase = Phase.DRAINING;
         LOG.info("draining");
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import lemondrift.serve.admin.Admin;
+import lemondrift.settings.BadInput;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
@@ -42,6 +44,7 @@
                     reload(proxy.get(), environment);
                 });
             }
+            ServerSocketChannel given = given(environment.get("PROXY_INHERITED_FD"));
             XnioWorker worker = serving ? Proxy.worker() : null;
             // Before the rehearsal, so that who asks meanwhile hears that it is not ready.
             Admin admin = serving && config.admin() != null ? new Admin(config.admin(), worker) : null;
@@ -49,7 +52,7 @@
             if (serving) {
                 proxy.set(new Proxy(config, worker));
                 LOG.info("{} starts, listens on {}", config.name(), config.listen());
-                proxy.get().serve();
+                proxy.get().serve(given);
                 if (admin != null) {
                     admin.operates(proxy.get().operated());
                 }
@@ -65,6 +68,18 @@
         }
     }
 
+    /** The listening socket that the platform holds; null where it holds none. */
+    private static ServerSocketChannel given(String descriptor) throws IOException {
+        if (descriptor == null) {
+            return null;
+        }
+        // The JDK knows the way for this descriptor only.
+        if (!descriptor.equals("0") || !(System.inheritedChannel() instanceof ServerSocketChannel socket)) {
+            throw new BadInput("PROXY_INHERITED_FD: descriptor " + descriptor + " is no listening socket");
+        }
+        return socket;
+    }
+
     /** Danger: two hang-ups in a row have a thread each, and the older file must not be followed last. */
     private static synchronized void reload(Proxy proxy, Map<String, String> environment) {
         if (proxy == null) {
