--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -14,16 +14,15 @@
     private final Estimate estimate;
     private final double[] quota;
     private final Faded[] used;
-    private final double excessBenefit, mostBenefit;
+    private final Fleet fleet;
 
-    Admission(Settings s, Estimate estimate, Selection selection) {
+    Admission(Fleet fleet, Estimate estimate, Selection selection) {
+        this.fleet = fleet;
         this.estimate = estimate;
         this.selection = selection;
-        mostBenefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).max().orElse(1);
-        quota = Arrays.stream(s.tenantQuota()).map(q -> q / s.balancers()).toArray();
+        quota = fleet.stated.tenantQuota();
         used = new Faded[quota.length];
         Arrays.setAll(used, tenant -> new Faded(estimate.memory));
-        excessBenefit = s.excessBenefit();
     }
 
     @Override
@@ -31,10 +30,11 @@
         if (selection.asks(x, now, turn)) {
             return;
         }
-        double rank = x.rules.benefit() / mostBenefit;
+        double rank = rank(x);
         if (x.tenant < quota.length) {
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
-            rank *= used[x.tenant].at(now) > quota[x.tenant] ? excessBenefit : 1;
+            double share = quota[x.tenant] / fleet.stated.balancers();
+            rank *= used[x.tenant].at(now) > share ? fleet.stated.excessBenefit() : 1;
         }
         double wait = selection.expectedWait(x, now), most = CROWD * estimate.workTime(x.best, now);
         double limit = share(rank) * Math.min(x.contract - now, estimate.old() ? most : estimate.memory);
@@ -47,6 +47,10 @@
         }
     }
 
+    private double rank(Exchange x) {
+        return x.terms.grade().benefit() / fleet.stated.benefits().max().orElse(1);
+    }
+
     private static double share(double rank) {
         return LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank);
     }
@@ -54,6 +58,6 @@
     /** What it would shed of a grade now, without asking or drawing anybody; changes nothing. */
     Word word(Exchange x, double now) {
         double wait = selection.leastWait(x, now);
-        return new Word(wait / share(x.rules.benefit() / mostBenefit), Math.min(wait, estimate.window));
+        return new Word(wait / share(rank(x)), Math.min(wait, estimate.window));
     }
 }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -4,13 +4,11 @@
 import lemondrift.model.*;
 
 /**
- * The decisions of one proxy. Call a method for each thing that happens, in order, with the time in seconds,
- * and carry out the Turn it returns before the next call reuses it; call wake at or after Turn.wakeAt. An
- * exchange passes Expiry, Admission, Repeats, Eligibility and Selection; endings run back in reverse.
+ * The decisions of one proxy. Tell it each thing that happens, in order, with the time in seconds, and carry
+ * out the Turn it returns before the next call reuses it; call wake at or after Turn.wakeAt.
  */
 public final class Balancer {
     private final Turn turn = new Turn();
-    private final List<ServiceGrade> grades;
     private final Fleet fleet;
     private final Estimate estimate;
     private final Expiry expiry;
@@ -21,19 +19,18 @@
 
     public Balancer(Settings settings, long seed) {
         Chance chance = new Chance(seed);
-        grades = settings.grades();
-        expiry = new Expiry(settings);
         fleet = new Fleet(settings, chance);
-        estimate = new Estimate(settings, fleet);
-        eligibility = new Eligibility(settings, fleet, estimate, chance);
-        selection = new Selection(settings, fleet, estimate, eligibility, chance);
+        expiry = new Expiry(fleet);
+        estimate = new Estimate(fleet);
+        eligibility = new Eligibility(fleet, estimate, chance);
+        selection = new Selection(fleet, estimate, eligibility, chance);
         lists = new Lists(settings, chance);
-        admission = new Admission(settings, estimate, selection);
-        expiry.then(admission).then(new Repeats(settings, fleet)).then(eligibility).then(selection);
+        admission = new Admission(fleet, estimate, selection);
+        expiry.then(admission).then(new Repeats(fleet)).then(eligibility).then(selection);
     }
 
     public Turn exchangeArrived(double now, Exchange x) {
-        x.rules = grades.get(x.grade);
+        x.terms = x.terms == null ? fleet.stated.terms(x.grade) : x.terms;
         return turn(now, () -> expiry.take(x, now, turn));
     }
 
@@ -64,10 +61,18 @@
     }
 
     public Turn probeEnded(double now, int backend, Outcome outcome, double[] report) {
-        selection.probed(backend);
+        selection.askedAt[backend] = 0;
         return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, false, now));
     }
 
+    /** Other grades and limits are stated. At a fresh index stands one of which nothing is known. */
+    public void stated(Settings settings, List<Integer> fresh) {
+        fleet.stated = settings;
+        estimate.stated();
+        expiry.stated(fresh);
+        eligibility.stated(fresh);
+    }
+
     /** How many exchanges the other proxies have out at a backend, as far as they have told. */
     public void othersHold(int backend, int exchanges) {
         estimate.others[backend] = exchanges;
@@ -85,8 +90,8 @@
     /** A question that changes nothing: what would be shed of a service grade on arrival now. */
     public Word word(double now, int grade) {
         Exchange x = new Exchange(0, grade, 0, now, 0);
-        x.rules = grades.get(grade);
-        return admission.word(x, now).upTo(expiry.longestRetryAfter);
+        x.terms = fleet.stated.terms(grade);
+        return admission.word(x, now).upTo(fleet.stated.limits().retryAfter());
     }
 
     /** How many backends may be sent to, those left out for one grade only among them. */
@@ -111,7 +116,7 @@
         for (Exchange x = selection.released(now); x != null; x = selection.released(now)) {
             expiry.again(x, now, turn);
         }
-        eligibility.probing(now, turn);
+        turn.probes.forEach(i -> eligibility.spend(i, Eligibility.PROBE_WORK, now));
         turn.wakeAt = Math.min(expiry.wakeAt(), Math.min(lists.askAt, selection.wakeAt()));
         return turn;
     }
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -10,11 +10,9 @@
     /** Floor and cap of a service time to the usual, a quick answer's least step, outcomes to be sure by. */
     private static final double SPREAD = 2, STEP = 0.02, FEW = 8;
 
-    /** The window of the design page, which is the shortest contract time; spans in which things fade. */
-    final double window, memory, horizon;
-    private final Settings.Reports places;
+    /** The window of the design page, and spans in which things fade. */
+    double window, memory, horizon;
     private final Fleet fleet;
-    private final int balancers;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
     private double quick, answers, pace;
     /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
@@ -29,21 +27,23 @@
     double[] others = {};
     private double[] use = {}, held = {};
 
-    Estimate(Settings s, Fleet fleet) {
+    Estimate(Fleet fleet) {
         this.fleet = fleet;
-        balancers = s.balancers();
-        places = s.reports();
-        window = s.grades().stream().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
-        memory = MEMORY * window;
-        horizon = FADE * window;
+        stated();
         pace = quick = window / 16;
-        told = places.rate() < 0 ? 0 : quick;
+        told = fleet.stated.reports().rate() < 0 ? 0 : quick;
         ownRate = new Faded(memory);
         metWait = new Faded(memory);
         heard = new Faded(horizon);
         heards = new Faded(horizon);
     }
 
+    void stated() {
+        window = fleet.stated.window();
+        memory = MEMORY * window;
+        horizon = FADE * window;
+    }
+
     void listed() {
         report = Arrays.copyOf(report, fleet.size);
         reportedAt = Arrays.copyOf(reportedAt, fleet.size);
@@ -56,6 +56,7 @@
 
     /** A report overwrites the estimate and clears the sends; exchanges held add their work to it. */
     void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
+        Settings.Reports places = fleet.stated.reports();
         double u = figure(figures, places.utilisation(), 0);
         // Danger: one that comes with an answer counts the exchange answered, so the idle would look busy.
         double itself = places.countsAnswered() && answer && delivered ? 1 : 0;
@@ -115,8 +116,8 @@
     double worth(int i, double now) {
         double usual = told > 0 ? told : quick;
         double share = rated[i] > 0 ? rated[i] / usual : fleet.meanPower / fleet.power[i];
-        return Math.min(1, quick * balancers / window) * Math.max(1 / SPREAD, Math.min(SPREAD, share))
-                / fleet.coldShare(i, now);
+        return Math.min(1, quick * fleet.stated.balancers() / window)
+                * Math.max(1 / SPREAD, Math.min(SPREAD, share)) / fleet.coldShare(i, now);
     }
 
     double trust(int i, double now) {
@@ -162,8 +163,8 @@
                     : quick * (took < quick ? 1 - 3 * step : 1 + step);
         }
         if (good || outcome == Outcome.TIMED_OUT || outcome.neverRan && outcome != Outcome.MOOT) {
-            double wait = outcome == Outcome.FULL ? window : !good ? took : places.inAnswers() && !old()
-                    ? wait(i, now) : Math.max(0, took - workTime(i, now));
+            double wait = outcome == Outcome.FULL ? window : !good ? took : fleet.stated.reports().inAnswers()
+                    && !old() ? wait(i, now) : Math.max(0, took - workTime(i, now));
             // Over four outcomes at least, so that none decides; it fades sooner where no report ends a jam.
             metWait.span = old() ? MET * window : memory;
             metWait.add((wait - metWait.at(now)) / Math.max(4, MET * window * ownRate.at(now)), now);
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -1,6 +1,8 @@
 package lemondrift.decide;
 
+import java.util.Arrays;
 import java.util.Comparator;
+import java.util.List;
 import java.util.PriorityQueue;
 import lemondrift.model.*;
 
@@ -10,41 +12,41 @@
     private static final int ODD = 4;
 
     /** The time left of a usual first try, by grade, and how many in a row had less. */
-    private final double[] usual, since;
-    private final boolean mayCancel, marked;
-    final double longestRetryAfter;
+    private double[] usual = {}, since = {};
+    private final Fleet fleet;
     private final PriorityQueue<Exchange> open = new PriorityQueue<>(Comparator.comparing(x -> x.expiry));
 
-    Expiry(Settings s) {
-        usual = new double[s.grades().size()];
-        since = new double[usual.length];
-        mayCancel = s.limits().cancel();
-        marked = s.marksRetries();
-        longestRetryAfter = s.limits().retryAfter();
+    Expiry(Fleet fleet) {
+        this.fleet = fleet;
+        stated(List.of());
+    }
+
+    void stated(List<Integer> fresh) {
+        usual = Arrays.copyOf(usual, fleet.stated.grades().size());
+        since = Arrays.copyOf(since, usual.length);
+        fresh.forEach(grade -> usual[grade] = since[grade] = 0);
     }
 
     /** Takes a new exchange; where a late answer brings nothing, its useful time is the contract time. */
     void take(Exchange x, double now, Turn turn) {
-        double useful = x.rules.lateBenefit() > 0 ? x.rules.expiry() : x.rules.contractTime();
+        ServiceGrade grade = x.terms.grade();
+        double useful = grade.lateBenefit() > 0 ? grade.expiry() : grade.contractTime();
         // Danger: work done after the first try's time is lost, so a retry has less by what has passed.
         double left = x.expiry - now;
-        boolean retry = marked ? x.retry && differs(left, usual[x.grade]) : isRetry(x.grade, left);
-        double age = retry ? Math.max(0, x.rules.expiry() - left) : 0;
+        boolean marked = fleet.stated.marksRetries();
+        // Clients may give a first try up sooner than the next, which then has more time left, not less.
+        boolean retry = marked ? x.retry && Math.abs(left - usual[x.grade]) > 0.01 * usual[x.grade]
+                : isRetry(x.grade, left);
+        double age = retry ? Math.max(0, grade.expiry() - left) : 0;
         usual[x.grade] = marked && !x.retry ? left : usual[x.grade];
         x.contract = Math.min(x.expiry, x.arrived + useful - age);
         open.add(x);
         again(x, now, turn);
     }
 
-    /** Clients may give a first try up sooner than the next, which then has more time left, not less. */
-    private static boolean differs(double left, double usual) {
-        return Math.abs(left - usual) > 0.01 * usual;
-    }
-
     /** Where clients do not mark their retries, a try with less time left than others is taken for one. */
     private boolean isRetry(int grade, double left) {
-        boolean less = left < 0.99 * usual[grade];
-        since[grade] = less ? since[grade] + 1 : 0;
+        since[grade] = left < 0.99 * usual[grade] ? since[grade] + 1 : 0;
         usual[grade] = since[grade] > ODD ? left : Math.max(usual[grade], left);
         return left < 0.99 * usual[grade];
     }
@@ -70,7 +72,8 @@
         if (!x.over) {
             x.over = true;
             boolean shed = Repeats.mayShed(x);
-            turn.answers.add(new Turn.Answer(x, shed, shed ? Math.min(comeBack, longestRetryAfter) : 0));
+            double retryAfter = Math.min(comeBack, fleet.stated.limits().retryAfter());
+            turn.answers.add(new Turn.Answer(x, shed, shed ? retryAfter : 0));
             cancelAll(x, turn);
         }
     }
@@ -81,7 +84,7 @@
     }
 
     private void cancelAll(Exchange x, Turn turn) {
-        for (Forward f = x.latest; f != null && mayCancel && !x.begun; f = f.earlier) {
+        for (Forward f = x.latest; f != null && fleet.stated.limits().cancel() && !x.begun; f = f.earlier) {
             if (!f.ended) {
                 turn.cancels.add(f);
             }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -7,8 +7,8 @@
 
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
-    private final double coldFrom, coldTime;
-    private final boolean sizes;
+    /** What is stated now; an exchange keeps the terms that it came under. */
+    Settings stated;
     private final Chance chance;
     int size;
     boolean[] ready = {};
@@ -20,22 +20,27 @@
     int[] order = {};
 
     Fleet(Settings s, Chance chance) {
-        coldFrom = s.rules().coldFrom();
-        coldTime = s.rules().cold();
-        sizes = s.sizes();
+        stated = s;
         this.chance = chance;
     }
 
     /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
     void listed(boolean whole, List<Listed> lines) {
         Arrays.fill(ready, 0, whole ? size : 0, false);
-        grow(Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1));
+        size = Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1);
+        ready = Arrays.copyOf(ready, size);
+        location = Arrays.copyOf(location, size);
+        cell = Arrays.copyOf(cell, size);
+        power = Arrays.copyOf(power, size);
+        started = Arrays.copyOf(started, size);
+        startSeen = Arrays.copyOf(startSeen, size);
+        out = Arrays.copyOf(out, size);
         for (Listed line : lines) {
             int i = line.backend();
             ready[i] = line.state() == Listed.State.READY;
             location[i] = line.location();
             cell[i] = line.cell();
-            power[i] = sizes ? line.size() : 1;
+            power[i] = stated.sizes() ? line.size() : 1;
             started[i] = Math.max(line.fresh() ? 0 : started[i], line.started());
             startSeen[i] = line.fresh() ? 0 : startSeen[i];
         }
@@ -54,20 +59,10 @@
         order[b] = i;
     }
 
-    private void grow(int wanted) {
-        ready = Arrays.copyOf(ready, wanted);
-        location = Arrays.copyOf(location, wanted);
-        cell = Arrays.copyOf(cell, wanted);
-        power = Arrays.copyOf(power, wanted);
-        started = Arrays.copyOf(started, wanted);
-        startSeen = Arrays.copyOf(startSeen, wanted);
-        out = Arrays.copyOf(out, wanted);
-        size = wanted;
-    }
-
     /** The share of its full capacity that a backend has at the least; 1 is warm. */
     double coldShare(int i, double now) {
-        double age = started[i] <= 0 ? 1 : Math.max(0, now - started[i]) / coldTime;
-        return age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
+        double age = started[i] <= 0 ? 1 : Math.max(0, now - started[i]) / stated.rules().cold();
+        double from = stated.rules().coldFrom();
+        return age >= 1 ? 1 : from + (1 - from) * age;
     }
 }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -7,30 +7,28 @@
     /** Further forwards stay under this share of first ones: a retry storm is never of our making. */
     private static final double RETRY_SHARE = 0.25;
 
-    private final int mostForwards;
     private final Fleet fleet;
     private double credit;
 
-    Repeats(Settings s, Fleet fleet) {
-        mostForwards = s.limits().forwards();
-        credit = mostForwards;
+    Repeats(Fleet fleet) {
+        credit = fleet.stated.limits().forwards();
         this.fleet = fleet;
     }
 
     /** A shed reply promises that a retry is harmless. */
     static boolean mayShed(Exchange x) {
-        return x.rules.effect() == Effect.PURE || x.mayHaveRun == null && x.out == 0
-                || x.rules.effect() == Effect.RECEIPTED && x.rules.group() == Group.ALL;
+        return x.terms.grade().effect() == Effect.PURE || x.mayHaveRun == null && x.out == 0
+                || x.terms.grade().effect() == Effect.RECEIPTED && x.terms.grade().group() == Group.ALL;
     }
 
     @Override
     void offer(Exchange x, double now, Turn turn) {
         boolean repeat = x.forwards > 0;
-        if (repeat && (x.forwards >= mostForwards || credit < 1)) {
+        if (repeat && (x.forwards >= x.terms.forwards() || credit < 1)) {
             giveUp(x, 0, now, turn);
             return;
         }
-        credit = repeat ? credit - 1 : Math.min(mostForwards, credit + RETRY_SHARE);
+        credit = repeat ? credit - 1 : Math.min(x.terms.forwards(), credit + RETRY_SHARE);
         super.offer(x, now, turn);
     }
 
@@ -40,7 +38,7 @@
         while (f != null && f.backend != i) {
             f = f.earlier;
         }
-        return f == null && (x.mayHaveRun == null || mayRepeat(x.rules, x.mayHaveRun, i, now))
+        return f == null && (x.mayHaveRun == null || mayRepeat(x.terms.grade(), x.mayHaveRun, i, now))
                 && super.mayTake(x, i, now);
     }
 
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -18,23 +18,16 @@
     private final Estimate estimate;
     private final Eligibility eligibility;
     private final Chance chance;
-    private final int here, rounds;
-    private final double crossing, meanBenefit, patience;
     private final Deque<Exchange> kept = new ArrayDeque<>();
     private double swapAt;
     /** When a probe that is still out was sent, 0 if there is none, and the figure last ranked by. */
-    private double[] askedAt = {}, figure = {};
+    double[] askedAt = {}, figure = {};
 
-    Selection(Settings s, Fleet fleet, Estimate estimate, Eligibility eligibility, Chance chance) {
+    Selection(Fleet fleet, Estimate estimate, Eligibility eligibility, Chance chance) {
         this.fleet = fleet;
         this.estimate = estimate;
         this.eligibility = eligibility;
         this.chance = chance;
-        here = s.location();
-        rounds = !s.limits().probes() ? 0 : (int) Math.min(ROUNDS, MOST_COST / ASKED / s.charges().probe());
-        crossing = s.charges().crossing();
-        meanBenefit = s.grades().stream().mapToDouble(ServiceGrade::benefit).average().orElse(1);
-        patience = PATIENCE * estimate.window;
     }
 
     void listed() {
@@ -65,17 +58,19 @@
     /** Danger: one that leaves a probe unanswered looks as idle as it last was. */
     @Override
     boolean mayTake(Exchange x, int i, double now) {
-        return (askedAt[i] == 0 || now - askedAt[i] < patience) && super.mayTake(x, i, now);
+        return (askedAt[i] == 0 || now - askedAt[i] < PATIENCE * estimate.window) && super.mayTake(x, i, now);
     }
 
     /** Ranks the part by estimate and, beyond it, crossing's charge as a share of the exchange's benefit. */
     private void rank(Exchange x, int part, double now) {
-        double cross = crossing / HARM * meanBenefit / Math.max(x.rules.benefit(), meanBenefit / 100);
+        double usual = fleet.stated.benefits().average().orElse(1);
+        double cross = fleet.stated.charges().crossing() / HARM * usual
+                / Math.max(x.terms.grade().benefit(), usual / 100);
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
-                    + (fleet.location[i] == here ? 0 : cross)
+                    + (fleet.location[i] == fleet.stated.location() ? 0 : cross)
                     + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now)) * (eligibility
                     .suspicion(i, now) - TIE * Math.log(1 - chance.next()) * estimate.worth(i, now)));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
@@ -93,7 +88,9 @@
         }
         int part = part(now);
         rank(x, part, now);
-        if (x.asks >= (estimate.old() ? 0 : rounds) || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
+        double rounds = Math.floor(Math.min(ROUNDS, MOST_COST / ASKED / fleet.stated.charges().probe()));
+        if (x.asks >= (estimate.old() || !fleet.stated.limits().probes() ? 0 : rounds)
+                || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
             return false;
         }
         x.asks++;
@@ -104,7 +101,7 @@
                 turn.probes.add(i);
             }
         }
-        x.keptUntil = now + patience;
+        x.keptUntil = now + PATIENCE * estimate.window;
         return kept.add(x);
     }
 
@@ -153,10 +150,6 @@
         super.ended(f, outcome, took, now, turn);
     }
 
-    void probed(int i) {
-        askedAt[i] = 0;
-    }
-
     /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
     Exchange released(double now) {
         Exchange done = kept.stream().filter(x -> x.over || now >= x.keptUntil
--- a/src/main/java/lemondrift/door/Intake.java
+++ b/src/main/java/lemondrift/door/Intake.java
@@ -22,7 +22,7 @@
 
     private record Waiting<T>(T exchange, double end, long order) {}
 
-    private final double longestWait;
+    private double longestWait;
     private final PriorityQueue<Waiting<T>> waiting = new PriorityQueue<>(
             Comparator.comparingDouble((Waiting<T> each) -> each.end).thenComparingLong(Waiting::order));
     private double cost;
@@ -31,6 +31,11 @@
 
     /** The contract time is the shortest of all service grades, in seconds, over 0. */
     public Intake(double contractTime) {
+        retuned(contractTime);
+    }
+
+    /** Another one is the shortest from now on. */
+    public void retuned(double contractTime) {
         longestWait = SHARE * contractTime;
     }
 
--- a/src/main/java/lemondrift/model/Exchange.java
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -9,8 +9,8 @@
     public final double expiry;
     /** Its client has said that this is not its first try. */
     public final boolean retry;
-    /** What holds for it, whatever is stated later; set when it arrives. */
-    public ServiceGrade rules;
+    /** What it came under; set by whoever read it, or when it arrives. */
+    public Terms terms;
     public boolean over;
     public boolean begun;
     public int forwards;
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -1,12 +1,43 @@
 package lemondrift.model;
 
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 
-/** What a deployment states at start; times in seconds, charges and shares as fractions. */
+/**
+ * What a deployment states; times in seconds, charges and shares as fractions. A service grade is null where
+ * its index stands for none any more.
+ */
 public record Settings(int balancers, int locations, int location, boolean listOnRequest,
         List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
         Reports reports, Limits limits, Rules rules, Charges charges, boolean sizes) {
 
+    /** The grades that are stated now. */
+    public Stream<ServiceGrade> live() {
+        return grades.stream().filter(Objects::nonNull);
+    }
+
+    /** The window of the design page, which is the shortest contract time. */
+    public double window() {
+        return live().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
+    }
+
+    public DoubleStream benefits() {
+        return live().mapToDouble(ServiceGrade::benefit);
+    }
+
+    /** What an exchange of a grade comes under now. */
+    public Terms terms(int grade) {
+        return new Terms(grades.get(grade), limits.forwards);
+    }
+
+    /** What another statement changes of this one while it holds, with grades under these indexes. */
+    public Settings retuned(Settings to, List<ServiceGrade> indexed) {
+        return new Settings(to.balancers, locations, location, listOnRequest, indexed, tenantQuota,
+                to.excessBenefit, to.marksRetries, reports, to.limits, to.rules, to.charges, sizes);
+    }
+
     /** The same where lists tell no sizes that hold. */
     public Settings(int balancers, int locations, int location, boolean listOnRequest,
             List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -12,8 +12,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import lemondrift.door.Bounds;
+import lemondrift.model.ServiceGrade;
 import lemondrift.model.Settings;
 import lemondrift.settings.BadInput;
 import lemondrift.settings.SettingsReader;
@@ -25,7 +28,12 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
         long seed, int sockets, Settings settings, List<String> gradeNames, List<String> tenantNames,
         List<String> locations, List<String> reportNames, double idle, double connectTimeout,
-        JsonObject known, Bounds door, Peers.Place peers, Settings shadow) {
+        JsonObject known, Map<String, String> stated, Bounds door, Peers.Place peers, Settings shadow) {
+    /** What is read once only, as a regular expression over the keys. */
+    private static final String AT_A_START = "name|listen|admin_addr|limits\\..*|peer.*"
+            + "|settings\\.(localities|zone|membershipMode|weights|realms|report|limits\\.conn).*";
+    /** A key's place in a list of objects. */
+    private static final String PLACE = "\\.\\d+\\.";
     /** Descriptors for what is not a connection: libraries, logs, selectors, the listener. */
     private static final int OTHERS = 40;
 
@@ -40,7 +48,7 @@
 
     private Config with(InetSocketAddress admin, Bounds door, Peers.Place peers, Settings shadow) {
         return new Config(name, listen, admin, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations, reportNames, idle, connectTimeout, known, door, peers, shadow);
+                locations, reportNames, idle, connectTimeout, known, stated, door, peers, shadow);
     }
 
     /** The same with another door. */
@@ -96,13 +104,20 @@
         return new Config(all.text("name", "proxy"), address("listen", all.text("listen", null)),
                 json.has("admin_addr") ? address("admin_addr", all.text("admin_addr", null)) : null,
                 address("discovery", all.text("discovery", null)), seed(all.text("seed", "0")),
-                sockets, settings, names(inner, "serviceGrades"),
+                sockets, settings, gradeNames(inner),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
-                reader.number("limits.connectTimeout", 250) / 1000, known(json),
+                reader.number("limits.connectTimeout", 250) / 1000, known(json), stated(pairs),
                 DoorFile.usual(connections(sockets), settings), null, null);
     }
 
+    /** Without the list, which has its own ways to change. */
+    private static Map<String, String> stated(Map<String, String> pairs) {
+        Map<String, String> stated = new HashMap<>(pairs);
+        stated.keySet().removeIf(key -> key.startsWith("known."));
+        return stated;
+    }
+
     /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
     private static JsonObject known(JsonObject json) {
         JsonObject none = new JsonObject();
@@ -111,6 +126,59 @@
         return json.has("known") ? json.getAsJsonObject("known") : none;
     }
 
+    double longestExpiry() {
+        return settings.live().mapToDouble(ServiceGrade::expiry).max().orElse(1);
+    }
+
+    /**
+     * Danger: a file that was cut or left half written may still be one that can be read, and what it lacks
+     * would fall back to what holds where nothing is said.
+     */
+    void requireAllOf(Config running) {
+        for (String key : running.stated.keySet()) {
+            // Of a list's entries each has to have what all had; there may be fewer of them.
+            boolean all = IntStream.range(0, running.count(key)).allMatch(i -> running.stated.containsKey(
+                    at(key, i)));
+            for (int i = 0; all && i < count(key); i++) {
+                if (!stated.containsKey(at(key, i))) {
+                    throw new BadInput(at(key, i) + ": missing, and the running configuration has it");
+                }
+            }
+        }
+    }
+
+    /** How many entries the list has that a key lies in; 1 where it lies in none. */
+    private int count(String key) {
+        String[] parts = key.split(PLACE, 2);
+        return parts.length == 1 ? 1 : Integer.parseInt(stated.getOrDefault(parts[0] + ".count", "0"));
+    }
+
+    private static String at(String key, int place) {
+        return key.replaceFirst(PLACE, "." + place + ".");
+    }
+
+    /** The keys that differ from the running configuration's, and hold only from the next start on. */
+    List<String> changesAtAStart(Config running) {
+        return Stream.concat(stated.keySet().stream(), running.stated.keySet().stream()).distinct().sorted()
+                .filter(key -> key.matches(AT_A_START))
+                .filter(key -> !Objects.equals(stated.get(key), running.stated.get(key))).toList();
+    }
+
+    private static List<String> gradeNames(Map<String, String> pairs) {
+        List<String> names = names(pairs, "serviceGrades");
+        for (int i = 0; i < names.size(); i++) {
+            String key = "setting serviceGrades." + i + ".name: ";
+            if (names.get(i) == null || names.get(i).isEmpty()) {
+                throw new BadInput(key + "missing");
+            }
+            // Danger: of two classes of one name it is not known which one a request means.
+            if (names.indexOf(names.get(i)) < i) {
+                throw new BadInput(key + names.get(i) + " is there twice");
+            }
+        }
+        return names;
+    }
+
     private static List<String> names(Map<String, String> pairs, String list) {
         int count = Integer.parseInt(pairs.getOrDefault(list + ".count", "0"));
         return IntStream.range(0, count).mapToObj(i -> pairs.get(list + "." + i + ".name")).toList();
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -28,8 +28,10 @@
 import java.util.function.Consumer;
 import lemondrift.door.Intake;
 import lemondrift.model.Exchange;
-import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
+import lemondrift.model.Terms;
 import lemondrift.model.Word;
+import lemondrift.settings.Grades;
 import lemondrift.tally.Tally;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -63,7 +65,9 @@
     private final HttpOpenListener http;
     private final Visitors visitors;
     private final Intake<Taken> intake;
-    private final double[] contractTime, benefit;
+    /** What is stated now: which grade a name means, and what an exchange of each comes under. */
+    private Grades grades;
+    private volatile Terms[] terms;
     private AcceptingChannel<StreamConnection> server;
     /** In its place where the process was given a socket. */
     private InheritedServer inherited;
@@ -71,17 +75,16 @@
     private volatile boolean draining, busy;
     private volatile double lastArrival;
 
-    Front(Config config, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner, Tally tally) {
+    Front(Config config, Grades grades, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner,
+            Tally tally) {
         this.config = config;
         this.clock = clock;
         this.owner = owner;
         this.worker = worker;
-        contractTime = config.settings().grades().stream().mapToDouble(ServiceGrade::contractTime).toArray();
-        benefit = config.settings().grades().stream().mapToDouble(ServiceGrade::benefit).toArray();
-        intake = new Intake<>(Arrays.stream(contractTime).min().orElse(1));
+        intake = new Intake<>(config.settings().window());
         visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), tally, this::left);
         this.tally = tally;
-        tally.grades(config.gradeNames());
+        retuned(grades, config.settings());
         // Danger: with Undertow's buffer for pipelined answers one would wait for the next request's end.
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, Fields.MOST).set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -89,6 +92,19 @@
         http.setRootHandler(Handlers.httpContinueRead(this::handle));
     }
 
+    /** Other grades are stated for what is read from now on. */
+    void retuned(Grades other, Settings settings) {
+        grades = other;
+        terms = new Terms[settings.grades().size()];
+        Arrays.setAll(terms, settings::terms);
+        intake.retuned(settings.window());
+        tally.grades(other.names());
+    }
+
+    int classesKnown() {
+        return terms.length;
+    }
+
     /** Accepts on a socket that the process was given, and that others may accept on as well. */
     void listen(ServerSocketChannel given) throws IOException {
         inherited = new InheritedServer(given, worker.getIoThread(), config.door().last(), this::accepted);
@@ -293,7 +309,7 @@
     private void offer(Taken taken) {
         first.run();
         Exchange x = taken.exchange();
-        double end = x.arrived + Math.min(x.expiry - x.arrived, contractTime[x.grade]);
+        double end = x.arrived + Math.min(x.expiry - x.arrived, x.terms.grade().contractTime());
         if (intake.takes()) {
             owner.arrived(taken);
             return;
@@ -316,7 +332,7 @@
 
     /** Null where a field is missing, malformed or there twice. */
     private Exchange exchange(HeaderMap headers) {
-        int grade = config.gradeNames().indexOf(only(headers, GRADE));
+        int grade = grades.index(only(headers, GRADE));
         int tenant = config.tenantNames().isEmpty() ? 0
                 : config.tenantNames().indexOf(only(headers, TENANT));
         int milliseconds = Fields.number(only(headers, Backends.EXPIRES), 9);
@@ -324,8 +340,10 @@
             return null;
         }
         double now = clock.now();
-        return new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3,
+        Exchange x = new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3,
                 only(headers, RETRY).equals("1"));
+        x.terms = terms[grade];
+        return x;
     }
 
     private static String only(HeaderMap headers, HttpString field) {
@@ -370,7 +388,7 @@
     /** Passes a backend's answer on. */
     void deliver(Taken taken, Answer answer) {
         HttpServerExchange client = taken.client();
-        client.getAttachment(VISITOR).brings(benefit[taken.exchange().grade]);
+        client.getAttachment(VISITOR).brings(taken.exchange().terms.grade().benefit());
         Backends.copy(answer.headers(), client.getResponseHeaders());
         answer(client, Answer.OK, answer.body(), IoCallback.END_EXCHANGE);
     }
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import lemondrift.model.Forward;
+import lemondrift.model.Settings;
 import lemondrift.model.Turn;
+import lemondrift.settings.Grades;
 
 /** What the owner of the decisions has the sockets do; each returns at once. */
 interface Hands {
@@ -28,6 +30,9 @@
     /** So many backends are listed, and to so many of them nothing is sent now. */
     void targets(int listed, int disabled);
 
+    /** These are stated from now on. */
+    void retuned(Grades grades, Settings settings);
+
     /** Tells the other proxies. */
     void tell(byte[] datagram);
 
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -22,6 +22,7 @@
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
 import lemondrift.peer.Holdings;
+import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,10 +62,14 @@
     private int arrived;
     /** What the decisions would shed of each grade, as of the last time that the queue was long. */
     private volatile List<Word> words = List.of();
-    private final int grades;
+    /** What is stated now, the grades under the indexes that exchanges name. */
+    private Grades grades;
+    private Settings settings;
 
-    Owner(Balancer balancer, Directory directory, Clock clock, Hands hands, int grades) {
+    Owner(Balancer balancer, Directory directory, Clock clock, Hands hands, Grades grades,
+            Settings settings) {
         this.grades = grades;
+        this.settings = settings;
         this.balancer = balancer;
         this.directory = directory;
         this.clock = clock;
@@ -225,6 +230,22 @@
         });
     }
 
+    /** Other settings hold from now on, for what comes; watched is null where nobody watches. */
+    void retune(Settings to, List<String> names, Settings watched) {
+        put(null, () -> {
+            grades = grades.retuned(names, to.grades(),
+                    i -> open.keySet().stream().anyMatch(x -> x.grade == i));
+            settings = settings.retuned(to, grades.indexed());
+            balancer.stated(settings, grades.fresh());
+            if (shadow != null && watched != null) {
+                watch(s -> s.stated(watched.retuned(watched, grades.indexed(watched.grades())),
+                        grades.fresh()));
+            }
+            hands.retuned(grades, settings);
+            return null;
+        });
+    }
+
     private void count() {
         hands.targets(directory.listed(), directory.listed() - balancer.usable());
     }
@@ -259,7 +280,7 @@
                     event = handled < AT_A_TIME ? queue.poll() : null;
                 }
                 if (handled > AT_A_TIME) {
-                    words = IntStream.range(0, grades).mapToObj(i -> balancer.word(clock.now(), i)).toList();
+                    words = IntStream.range(0, settings.grades().size()).mapToObj(this::word).toList();
                 }
                 if (wakeAt <= clock.now()) {
                     handle(new Event(null, () -> balancer.wake(clock.now())));
@@ -283,6 +304,10 @@
         }
     }
 
+    private Word word(int grade) {
+        return settings.grades().get(grade) == null ? null : balancer.word(clock.now(), grade);
+    }
+
     /** Danger: an exception in one exchange must not end the proxy, nor leave the exchange unanswered. */
     private void handle(Event event) {
         try {
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -10,9 +10,10 @@
 import java.util.List;
 import lemondrift.decide.Balancer;
 import lemondrift.model.Forward;
-import lemondrift.model.ServiceGrade;
+import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.serve.admin.Operated;
+import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import lemondrift.tally.Tally;
 import org.slf4j.Logger;
@@ -49,7 +50,9 @@
     private final Front front;
     private final Watch watch;
     private final Backends backends;
-    private final double longestExpiry;
+    private volatile Config config;
+    /** Of all that were stated since the start, as what came under an earlier one may still be open. */
+    private volatile double longestExpiry;
     private final JsonObject known;
     /** Null where the other proxies are told nothing. */
     private final Peers peers;
@@ -70,13 +73,16 @@
         XnioIoThread io = worker.getIoThread();
         Dial sockets = (to, opened) -> io.openStreamConnection(to, opened, NO_DELAY);
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, MOST_BUFFERS, 8);
-        longestExpiry = config.settings().grades().stream().mapToDouble(ServiceGrade::expiry).max().orElse(1);
+        this.config = config;
+        longestExpiry = config.longestExpiry();
+        Grades grades = new Grades(config.gradeNames(), config.settings().grades());
         owner = new Owner(new Balancer(config.settings(), config.seed()), new Directory(config.locations()),
-                clock, new Sockets(io), config.settings().grades().size());
+                clock, new Sockets(io), grades,
+                config.settings());
         if (config.shadow() != null && dial == null) {
             owner.watches(config.shadow(), config.seed());
         }
-        front = new Front(config, clock, worker, buffers, owner, tally);
+        front = new Front(config, grades, clock, worker, buffers, owner, tally);
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
                 tally);
@@ -116,12 +122,24 @@
         LOG.info("serving");
     }
 
-    /** Follows a new configuration; only discovery's address changes while clients are served. */
-    void reload(Config config) {
-        LOG.info("configuration read again, discovery at {}", config.discovery());
+    /**
+     * Follows a new configuration, from now on or, what can't change while clients are served, not before the
+     * next start. One that is short of something is not followed at all.
+     */
+    void reload(Config next) {
+        next.requireAllOf(config);
+        LOG.info("configuration read again, discovery at {}, classes {}", next.discovery(),
+                next.gradeNames());
+        List<String> later = next.changesAtAStart(config);
+        if (!later.isEmpty()) {
+            LOG.warn("holds from the next start only: {}", later);
+        }
+        config = next;
+        longestExpiry = Math.max(longestExpiry, next.longestExpiry());
+        owner.retune(next.settings(), next.gradeNames(), next.shadow());
         worker.getIoThread().execute(() -> {
             tally.reloaded(true);
-            watch.move(config.discovery());
+            watch.move(next.discovery());
         });
     }
 
@@ -202,6 +220,11 @@
         worker.shutdown();
     }
 
+    /** How many indexes classes have taken up. */
+    int classesKnown() {
+        return front.classesKnown();
+    }
+
     /** What watching has counted; null where nobody watches. Once the owner has stopped. */
     Shadow watched() {
         return owner.watched();
@@ -269,6 +292,11 @@
             wishes.add(() -> tally.targets(listed, disabled));
         }
 
+        @Override
+        public void retuned(Grades grades, Settings settings) {
+            wishes.add(() -> front.retuned(grades, settings));
+        }
+
         @Override
         public void tell(byte[] datagram) {
             wishes.add(() -> peers.tell(datagram));
--- /dev/null
+++ b/src/main/java/lemondrift/settings/Grades.java
@@ -0,0 +1,97 @@
+package lemondrift.settings;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+import lemondrift.model.ServiceGrade;
+
+/**
+ * Under which index each named service grade stands. It keeps it over retunes as long as it is named with the
+ * same effect, so that what is learnt of one is never held against another.
+ */
+public final class Grades {
+    /** By index; null where one stands for none any more. */
+    private final List<String> names;
+    private final List<ServiceGrade> indexed;
+    /** The index of each in the order of the file, and the indexes that stand for another one than before. */
+    private final int[] index;
+    private final List<Integer> fresh = new ArrayList<>();
+
+    /** The first ones, in the order of the file. */
+    public Grades(List<String> names, List<ServiceGrade> grades) {
+        this(names, grades, IntStream.range(0, names.size()).toArray(), names.size());
+    }
+
+    private Grades(List<String> stated, List<ServiceGrade> grades, int[] index, int size) {
+        this.index = index;
+        String[] named = new String[size];
+        for (int at = 0; at < index.length; at++) {
+            named[index[at]] = stated.get(at);
+        }
+        names = Arrays.asList(named);
+        indexed = indexed(grades, size);
+    }
+
+    /**
+     * The next ones. An index that was dropped before is given out again if nothing is open under it. Danger:
+     * one dropped just now may still be on its way to the decisions with an exchange.
+     */
+    public Grades retuned(List<String> stated, List<ServiceGrade> grades, IntPredicate isOpen) {
+        int[] next = IntStream.range(0, stated.size()).map(at -> kept(stated.get(at), grades.get(at)))
+                .toArray();
+        List<Integer> fresh = new ArrayList<>();
+        int size = names.size();
+        for (int at = 0; at < next.length; at++) {
+            if (next[at] < 0) {
+                next[at] = IntStream.range(0, names.size()).filter(i -> names.get(i) == null
+                        && !fresh.contains(i) && !isOpen.test(i)).findFirst().orElse(-1);
+                next[at] = next[at] < 0 ? size++ : next[at];
+                fresh.add(next[at]);
+            }
+        }
+        Grades grown = new Grades(stated, grades, next, size);
+        grown.fresh.addAll(fresh);
+        return grown;
+    }
+
+    private int kept(String name, ServiceGrade grade) {
+        ServiceGrade old = index(name) < 0 ? null : indexed.get(index(name));
+        boolean same = old != null && old.effect() == grade.effect() && old.group() == grade.group();
+        return same ? index(name) : -1;
+    }
+
+    /** Those that are named now. */
+    public List<String> names() {
+        return names.stream().filter(Objects::nonNull).toList();
+    }
+
+    /** -1 where none is named so. */
+    public int index(String name) {
+        return names.indexOf(name);
+    }
+
+    public List<ServiceGrade> indexed() {
+        return indexed;
+    }
+
+    /** Others that are stated for the same names in the same order, each under its index. */
+    public List<ServiceGrade> indexed(List<ServiceGrade> stated) {
+        return indexed(stated, names.size());
+    }
+
+    private List<ServiceGrade> indexed(List<ServiceGrade> stated, int size) {
+        ServiceGrade[] all = new ServiceGrade[size];
+        for (int at = 0; at < index.length; at++) {
+            all[index[at]] = stated.get(at);
+        }
+        return Arrays.asList(all);
+    }
+
+    /** The indexes that stand for another one than before. */
+    public List<Integer> fresh() {
+        return fresh;
+    }
+}
--- a/src/main/java/lemondrift/settings/SettingsReader.java
+++ b/src/main/java/lemondrift/settings/SettingsReader.java
@@ -50,7 +50,7 @@
                 (int) between("zone", 0, locations - 1), onRequest, List.copyOf(grades), quota,
                 number("excessBenefit", 1), flag("clients.marksRetry"), reports(),
                 new Settings.Limits(flag("limits.mayCancel"), flag("limits.probes"),
-                        (int) number("limits.mostForwards"),
+                        (int) between("limits.mostForwards", 1, MOST),
                         flag("limits.retryAfter") ? number("limits.maxRetryAfter", 0) / 1000 : 0),
                 new Settings.Rules(between("invariants.coldFrom", LEAST, 1), number("invariants.cold") / 1000,
                         between("invariants.fallMultiple", LEAST, MOST),
--- a/src/main/java/lemondrift/shadow/Shadow.java
+++ b/src/main/java/lemondrift/shadow/Shadow.java
@@ -38,6 +38,7 @@
 
     private final Balancer balancer;
     private final int here;
+    private Settings settings;
     private final Map<Exchange, Copy> copies = new HashMap<>();
     private final long[] counts = new long[Kind.values().length];
     private final Map<Integer, Integer> locations = new HashMap<>();
@@ -47,6 +48,13 @@
     public Shadow(Settings settings, long seed) {
         balancer = new Balancer(settings, seed);
         here = settings.location();
+        this.settings = settings;
+    }
+
+    /** The program's own were stated anew, and with them these. */
+    public void stated(Settings other, List<Integer> fresh) {
+        settings = settings.retuned(other, other.grades());
+        balancer.stated(settings, fresh);
     }
 
     public void listed(double now, boolean whole, boolean stale, List<Listed> lines) {
@@ -55,6 +63,9 @@
     }
 
     public void arrived(double now, Exchange x) {
+        if (settings.grades().get(x.grade) == null) {
+            return;
+        }
         Copy copy = new Copy(x);
         copies.put(x, copy);
         settle(now, balancer.exchangeArrived(now, copy.exchange));
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -11,6 +11,7 @@
 import lemondrift.decide.Balancer;
 import lemondrift.peer.Holdings;
 import lemondrift.model.*;
+import lemondrift.settings.Grades;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -28,7 +29,7 @@
     private volatile double now = 1000;
     private volatile boolean failing;
     private final Owner owner = new Owner(new Balancer(SETTINGS, 7), new Directory(List.of("a")), () -> now,
-            this, 1);
+            this, new Grades(List.of("order"), SETTINGS.grades()), SETTINGS);
 
     private Forward arrive(long id) throws InterruptedException {
         owner.arrived(new Taken(new Exchange(id, 0, 0, now, 2), null, new byte[0]));
@@ -176,6 +177,11 @@
     public void targets(int listed, int disabled) {
     }
 
+    @Override
+    public void retuned(Grades grades, Settings settings) {
+        did.add("retuned " + grades.names());
+    }
+
     @Override
     public void tell(byte[] datagram) {
         tellings.add(datagram);
--- /dev/null
+++ b/src/test/java/lemondrift/settings/GradesTest.java
@@ -0,0 +1,77 @@
+package lemondrift.settings;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.Stream;
+import lemondrift.model.Effect;
+import lemondrift.model.Group;
+import lemondrift.model.ServiceGrade;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.UniqueElements;
+import org.junit.jupiter.api.Test;
+
+class GradesTest {
+    private static ServiceGrade grade(Effect effect, double benefit) {
+        return new ServiceGrade(benefit, 0, 1, 2, effect, Group.ALL, 0);
+    }
+
+    private static final ServiceGrade PURE = grade(Effect.PURE, 1), ONCE = grade(Effect.EFFECTFUL, 2);
+
+    private static Grades retuned(Grades old, boolean open, String... names) {
+        return old.retuned(List.of(names), Collections.nCopies(names.length, PURE), i -> open);
+    }
+
+    @Test
+    void aClassKeepsItsIndexWhereverItStands() {
+        Grades first = new Grades(List.of("a", "b"), List.of(PURE, PURE));
+        Grades next = first.retuned(List.of("c", "b"), List.of(PURE, grade(Effect.PURE, 7)), i -> false);
+        assertEquals(1, next.index("b"));
+        assertEquals(7, next.indexed().get(1).benefit(), "what comes has what is stated now");
+        assertEquals(2, next.index("c"), "an index dropped just now may still be on its way");
+        assertEquals(-1, next.index("a"));
+        assertNull(next.indexed().get(0));
+        assertEquals(List.of(2), next.fresh());
+        assertEquals(List.of("b", "c"), next.names());
+        assertEquals(0, retuned(next, false, "b", "c", "d").index("d"), "given out again later");
+        assertEquals(3, retuned(next, true, "b", "c", "d").index("d"), "not while it is open");
+    }
+
+    @Test
+    void anotherEffectIsAnotherClass() {
+        Grades next = new Grades(List.of("a"), List.of(PURE)).retuned(List.of("a"), List.of(ONCE),
+                i -> false);
+        assertEquals(1, next.index("a"));
+        assertNull(next.indexed().get(0));
+    }
+
+    @Test
+    void othersOfTheSameNamesStandUnderTheSameIndexes() {
+        Grades next = new Grades(List.of("a", "b"), List.of(PURE, PURE)).retuned(List.of("b"), List.of(PURE),
+                i -> false);
+        assertEquals(Stream.of(null, ONCE).toList(), next.indexed(List.of(ONCE)));
+    }
+
+    /** Any retunes in a row: each name has one index, its own, and there are no more than are needed. */
+    @Property(tries = 200)
+    void indexesAreBoundedAndTellNamesApart(@ForAll @Size(min = 1, max = 40) List<@Size(min = 1, max = 5)
+            @UniqueElements List<@IntRange(max = 7) Integer>> retunes) {
+        Grades grades = new Grades(List.of("0"), List.of(PURE));
+        for (List<Integer> each : retunes) {
+            Grades old = grades;
+            grades = retuned(old, false, each.stream().map(String::valueOf).toArray(String[]::new));
+            for (int name : each) {
+                int at = grades.index("" + name);
+                assertNotNull(grades.indexed().get(at));
+                assertTrue(old.index("" + name) < 0 ? grades.fresh().contains(at)
+                        : at == old.index("" + name) && !grades.fresh().contains(at));
+            }
+            assertEquals(each.size(), grades.indexed().stream().filter(g -> g != null).count());
+        }
+        assertTrue(grades.indexed().size() <= 10, "two files' classes at the most");
+    }
+}
