--- a/src/main/java/lemondrift/door/Bounds.java
+++ b/src/main/java/lemondrift/door/Bounds.java
@@ -56,6 +56,11 @@
         return 4 * quiet;
     }
 
+    /** How long a backend may give nothing of an answer that it has begun. */
+    public double stall() {
+        return fetch();
+    }
+
     /** How long a client whose requests are turned away is not read at the most. */
     double longestLinger() {
         return 0.45 * quiet;
--- a/src/main/java/lemondrift/door/Door.java
+++ b/src/main/java/lemondrift/door/Door.java
@@ -246,6 +246,13 @@
         return Math.pow(unusedShare(), STEEP) / bounds.quiet();
     }
 
+    /** More of its answer is there. Danger: what its backend takes long to give is not its client's fault. */
+    public void offered(int i, double now) {
+        if (state[i] == State.FETCHING) {
+            due[i] = time(now) + bounds.fetch();
+        }
+    }
+
     /** So many bytes of an answer were taken by a connection. */
     public void fetched(int i, int bytes, double now) {
         double t = time(now);
--- a/src/main/java/lemondrift/serve/Answer.java
+++ b/src/main/java/lemondrift/serve/Answer.java
@@ -2,11 +2,14 @@
 
 import io.undertow.util.HeaderMap;
 
-/** What came back on a call; status 0 where the connection failed before the answer was whole. */
-record Answer(int status, HeaderMap headers, byte[] body, boolean sent, boolean timedOut) {
+/**
+ * What came back on a call; status 0 where the connection failed before the answer was whole. Where it is
+ * passed on, the body is its beginning and the rest is whoever has what follows, else null.
+ */
+record Answer(int status, HeaderMap headers, byte[] body, boolean sent, boolean timedOut, Call rest) {
     static final int OK = 200;
 
     static Answer broken(boolean sent, boolean timedOut) {
-        return new Answer(0, new HeaderMap(), new byte[0], sent, timedOut);
+        return new Answer(0, new HeaderMap(), new byte[0], sent, timedOut, null);
     }
 }
--- a/src/main/java/lemondrift/serve/AnswerReader.java
+++ b/src/main/java/lemondrift/serve/AnswerReader.java
@@ -20,44 +20,103 @@
 
     private enum Part { STATUS, FIELDS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_THE_END, WHOLE }
 
+    /** Bytes of the longest body that is passed on; what is said to be longer is spoilt. */
+    private static final int LONGEST = 64 << 20;
+
     private final int most;
+    private final boolean mayPass;
     private final StringBuilder line = new StringBuilder(80);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
     private Part part = Part.STATUS;
     private HeaderMap headers = new HeaderMap();
     private boolean old;
-    private int status, inHeads, left;
+    private int status, inHeads, inChunks, left, declared = -1;
+    private long came;
+    private boolean passed;
 
-    /** The most is that of the body; heads, 1xx too, and lines between chunks have a bound of their own. */
-    AnswerReader(int most) {
+    /**
+     * The most is that of a body that is held; heads, 1xx too, and lines between chunks have bounds of their
+     * own. A longer one, if it may be, is passed on in pieces.
+     */
+    AnswerReader(int most, boolean mayPass) {
         this.most = most;
+        this.mayPass = mayPass;
     }
 
-    /** Takes what has come; whether the answer is whole. What is left in the buffer then is not its own. */
+    /**
+     * Takes what has come; whether the answer is whole. What is left in the buffer then is not its own. It
+     * leaves the rest of one that is too long to be held.
+     */
     boolean read(ByteBuffer from) throws IOException {
+        while (!isLong()) {
+            ByteBuffer piece = piece(from);
+            if (piece == null) {
+                return part == Part.WHOLE;
+            }
+            hold(piece);
+        }
+        return false;
+    }
+
+    private void hold(ByteBuffer piece) throws IOException {
+        byte[] bytes = new byte[piece.remaining()];
+        piece.get(bytes);
+        body.writeBytes(bytes);
+        require(body.size() <= most || mayPass && status == Answer.OK, "over " + most + " bytes");
+    }
+
+    /** The next piece of the body out of what has come; null where more must come first, or it is whole. */
+    ByteBuffer piece(ByteBuffer from) throws IOException {
         while (part != Part.WHOLE && from.hasRemaining()) {
-            switch (part) {
-                case BODY, CHUNK -> {
-                    take(from, Math.min(left, from.remaining()));
-                    if (left == 0) {
-                        part = part == Part.BODY ? Part.WHOLE : Part.CHUNK_END;
-                    }
-                }
-                case TO_THE_END -> {
-                    left = most - body.size();
-                    take(from, from.remaining());
-                }
-                default -> {
-                    String text = line(from);
-                    if (text != null) {
-                        next(text);
-                    }
+            if (part == Part.BODY || part == Part.CHUNK || part == Part.TO_THE_END) {
+                int count = part == Part.TO_THE_END ? from.remaining() : Math.min(left, from.remaining());
+                came += count;
+                require(came <= LONGEST, "over " + LONGEST + " bytes");
+                ByteBuffer piece = from.slice(from.position(), count);
+                from.position(from.position() + count);
+                left -= part == Part.TO_THE_END ? 0 : count;
+                if (left == 0 && part != Part.TO_THE_END) {
+                    part = part == Part.BODY ? Part.WHOLE : Part.CHUNK_END;
                 }
+                return piece;
+            }
+            String text = line(from);
+            if (text != null) {
+                next(text);
             }
         }
+        return null;
+    }
+
+    /** Whether it is too long to be held, so that it has to be passed on in pieces. */
+    boolean isLong() {
+        return passed || declared > most || body.size() > most;
+    }
+
+    /** Whether nobody can say how long it will be; its head is in. */
+    boolean isEndless() {
+        return status == Answer.OK && declared < 0 && part.compareTo(Part.FIELDS) > 0 && part != Part.WHOLE;
+    }
+
+    /** It is passed on whatever its length. */
+    void pass() {
+        passed = true;
+    }
+
+    boolean isWhole() {
         return part == Part.WHOLE;
     }
 
+    /** The connection's end, which has come, was the answer's. */
+    void ended() {
+        part = Part.WHOLE;
+    }
+
+    /** The length that its head tells; -1 where it tells none. */
+    int declared() {
+        return declared;
+    }
+
     /** Whether the connection's end, which has come, is the answer's. */
     boolean endsHere() {
         return part == Part.TO_THE_END;
@@ -70,24 +129,21 @@
     }
 
     Answer answer() {
-        return new Answer(status, headers, body.toByteArray(), true, false);
+        return new Answer(status, headers, body.toByteArray(), true, false, null);
     }
 
-    private void take(ByteBuffer from, int count) throws IOException {
-        if (count > left) {
-            throw new IOException("an answer of over " + most + " bytes");
-        }
-        byte[] bytes = new byte[count];
-        from.get(bytes);
-        body.writeBytes(bytes);
-        left -= count;
+    /** What of it was held, and whoever has the rest. */
+    Answer begun(Call rest) {
+        return new Answer(status, headers, body.toByteArray(), true, false, rest);
     }
 
     /** The next line without its end; null until it has come. */
     private String line(ByteBuffer from) throws IOException {
         while (from.hasRemaining()) {
             char c = (char) (from.get() & 0xFF);
-            if (++inHeads > Fields.MOST) {
+            // Danger: lines without end between chunks would hold a connection as a head without end does.
+            boolean inHead = part == Part.STATUS || part == Part.FIELDS;
+            if ((inHead ? ++inHeads : ++inChunks) > Fields.MOST) {
                 throw new IOException("a head of over " + Fields.MOST + " bytes");
             }
             if (c == '\n') {
@@ -126,7 +182,8 @@
                 Matcher size = CHUNK.matcher(text);
                 require(size.matches(), text);
                 left = Integer.parseInt(size.group(1), 16);
-                require(left <= most - body.size(), text);
+                require(left <= LONGEST - came, text);
+                inChunks = 0;
                 part = left == 0 ? Part.TRAILER : Part.CHUNK;
             }
             case CHUNK_END -> {
@@ -151,8 +208,9 @@
             part = Part.CHUNK_SIZE;
         } else if (lengths != null) {
             // Danger: one of 3 GB is known to be too long here, and would come for as long as it is read.
-            left = Fields.number(lengths.getFirst(), 9);
-            require(lengths.size() == 1 && left >= 0 && left <= most, lengths);
+            declared = left = Fields.number(lengths.getFirst(), 9);
+            boolean passes = mayPass && status == Answer.OK;
+            require(lengths.size() == 1 && left >= 0 && left <= (passes ? LONGEST : most), lengths);
             part = left == 0 ? Part.WHOLE : Part.BODY;
         } else if (status == 204 || status == 304) {
             part = Part.WHOLE;
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -38,6 +38,8 @@
     private static final double SHARE = 0.33, MOST_OF_THEM = 0.25;
     /** Idle connections are closed at this share of the time after which a backend does so. */
     private static final double IDLE_SHARE = 0.5;
+    /** The share of its time after which an answer that nobody knows the length of is passed on. */
+    private static final double PATIENCE = 0.8;
     /** No figure of a load report can be as high. */
     private static final double UNHEARD_OF = 1e9;
 
@@ -81,8 +83,8 @@
     private void begin(Forward f, Taken taken, InetSocketAddress to) {
         // The time that passed in the queues is the exchange's own.
         double within = f.sent + f.timeOut - clock.now();
-        Call call = Call.make(links(f.backend, to), request(taken, Math.round(f.timeOut * 1000)), MOST_BODY,
-                config.connectTimeout(), within, tally::dispatched, answer -> {
+        Call call = Call.passing(links(f.backend, to), request(taken, Math.round(f.timeOut * 1000)),
+                MOST_BODY, config.connectTimeout(), within, PATIENCE * within, tally::dispatched, answer -> {
                     calls.remove(f);
                     owner.ended(f, outcome(answer), clock.now() - f.sent, report(answer), answer);
                 });
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -11,7 +11,10 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
-/** One request on one connection and its whole answer; it never tries again by itself. I/O thread only. */
+/**
+ * One request on one connection and its answer, whole, or where it is long its beginning and then piece by
+ * piece as it is asked for. It never tries again by itself. I/O thread only.
+ */
 final class Call {
     private final Links links;
     private final ByteBuffer request;
@@ -20,13 +23,18 @@
     private final Runnable written;
     private Links.Link link;
     private IoFuture<StreamConnection> connect;
-    private XnioExecutor.Key connectTimer, timer;
+    private XnioExecutor.Key connectTimer, timer, passTimer;
     private boolean done;
+    /** What has come of an answer that is passed on, and who is to hear of more. */
+    private PooledByteBuffer passing;
+    private Runnable more;
+    private double endless;
 
-    private Call(Links links, byte[] request, int most, Runnable written, Consumer<Answer> end) {
+    private Call(Links links, byte[] request, int most, boolean mayPass, Runnable written,
+            Consumer<Answer> end) {
         this.links = links;
         this.request = ByteBuffer.wrap(request);
-        this.reader = new AnswerReader(most);
+        this.reader = new AnswerReader(most, mayPass);
         this.written = written;
         this.end = end;
     }
@@ -37,7 +45,21 @@
      */
     static Call make(Links links, byte[] request, int most, double connectTimeout, double within,
             Runnable written, Consumer<Answer> end) {
-        Call call = new Call(links, request, most, written, end);
+        return make(links, new Call(links, request, most, false, written, end), connectTimeout, within);
+    }
+
+    /**
+     * One whose answer may be passed on: when it is too long to be held, or nobody can say how long it will
+     * be and it has lasted so many seconds.
+     */
+    static Call passing(Links links, byte[] request, int most, double connectTimeout, double within,
+            double endless, Runnable written, Consumer<Answer> end) {
+        Call call = new Call(links, request, most, true, written, end);
+        call.endless = links.clock.now() + endless;
+        return make(links, call, connectTimeout, within);
+    }
+
+    private static Call make(Links links, Call call, double connectTimeout, double within) {
         call.link = links.idle();
         if (call.link == null && !links.reserve()) {
             return null;
@@ -106,22 +128,113 @@
     }
 
     private void read() {
-        try (PooledByteBuffer pooled = links.buffers.allocate()) {
+        PooledByteBuffer pooled = links.buffers.allocate();
+        try {
             ByteBuffer buffer = pooled.getBuffer();
             int got = 1;
             while (!done && got > 0) {
                 got = link.connection.getSourceChannel().read(buffer.clear());
                 if (got > 0 && reader.read(buffer.flip())) {
                     whole(buffer.hasRemaining());
+                } else if (got > 0 && reader.isLong()) {
+                    passing = pooled;
+                    begun();
                 } else if (got < 0 && reader.endsHere()) {
                     whole(true);
                 } else if (got < 0) {
                     broken(false);
                 }
             }
+            if (!done && reader.isEndless() && endless > 0 && passTimer == null) {
+                passTimer = links.io.executeAfter(this::pass,
+                        (long) (Math.max(0, endless - links.clock.now()) * 1e9), TimeUnit.NANOSECONDS);
+            }
         } catch (IOException | RuntimeException e) {
             // Danger: an answer that makes a library fail would leave its forward without an end.
             broken(false);
+        } finally {
+            if (passing != pooled) {
+                pooled.close();
+            }
+        }
+    }
+
+    /** Danger: who waited for the end of an answer that comes slowly would hear nothing until too late. */
+    private void pass() {
+        if (!done) {
+            reader.pass();
+            passing = links.buffers.allocate();
+            passing.getBuffer().limit(0);
+            begun();
+        }
+    }
+
+    /** From here on nothing but the sides themselves ends it. */
+    private void begun() {
+        finish();
+        link.connection.getSourceChannel().suspendReads();
+        end.accept(reader.begun(this));
+    }
+
+    /** The length of a long answer's body; -1 where nobody tells. */
+    int declared() {
+        return reader.declared();
+    }
+
+    /** The next piece of what is passed on; null where it is whole, or has to come first. */
+    ByteBuffer next() throws IOException {
+        ByteBuffer raw = passing.getBuffer();
+        for (int got = 1; got > 0; ) {
+            ByteBuffer piece = reader.piece(raw);
+            if (piece != null || reader.isWhole()) {
+                return piece;
+            }
+            got = link.connection.getSourceChannel().read(raw.clear());
+            raw.flip();
+            if (got < 0 && reader.endsHere()) {
+                reader.ended();
+            } else if (got < 0) {
+                throw new IOException("an answer that breaks off");
+            }
+        }
+        return null;
+    }
+
+    boolean isWhole() {
+        return reader.isWhole();
+    }
+
+    /** Has somebody hear once of more to be passed on. */
+    void awaitMore(Runnable then) {
+        more = then;
+        link.connection.getSourceChannel().setReadListener(source -> {
+            source.suspendReads();
+            more.run();
+        });
+        link.connection.getSourceChannel().resumeReads();
+    }
+
+    /** What was passed on is whole. */
+    void passed() {
+        boolean spent = passing.getBuffer().hasRemaining() || reader.closes() || request.hasRemaining();
+        release();
+        if (spent) {
+            link.close();
+        } else {
+            links.back(link);
+        }
+    }
+
+    /** Nobody wants what is passed on any more. */
+    void drop() {
+        release();
+        link.close();
+    }
+
+    private void release() {
+        if (passing != null) {
+            passing.close();
+            passing = null;
         }
     }
 
@@ -166,5 +279,8 @@
         if (connectTimer != null) {
             connectTimer.remove();
         }
+        if (passTimer != null) {
+            passTimer.remove();
+        }
     }
 }
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -173,8 +173,9 @@
         visitor.headRead();
         client.putAttachment(VISITOR, visitor);
         client.addExchangeCompleteListener((done, next) -> {
-            // What is turned away is counted with its answer, as its connection lingers.
-            if (done.isResponseStarted() && !isTurnedAway(done.getStatusCode())) {
+            // What is turned away is counted with its answer, as its connection lingers; what was closed in
+            // the middle ends here too, and has no reply.
+            if (channel(done).isOpen() && !isTurnedAway(done.getStatusCode())) {
                 count(done);
             }
             visitor.answered();
@@ -390,7 +391,34 @@
         HttpServerExchange client = taken.client();
         client.getAttachment(VISITOR).brings(taken.exchange().terms.grade().benefit());
         Backends.copy(answer.headers(), client.getResponseHeaders());
-        answer(client, Answer.OK, answer.body(), IoCallback.END_EXCHANGE);
+        if (answer.rest() == null) {
+            answer(client, Answer.OK, answer.body(), IoCallback.END_EXCHANGE);
+        } else {
+            pass(client, answer);
+        }
+    }
+
+    private void pass(HttpServerExchange client, Answer answer) {
+        Visitors.Visitor visitor = client.getAttachment(VISITOR);
+        if (!begin(client, Answer.OK)) {
+            answer.rest().drop();
+            return;
+        }
+        if (answer.rest().declared() >= 0) {
+            client.setResponseContentLength(answer.rest().declared());
+        }
+        visitor.relay = new Relay(client, answer, worker.getIoThread(), config.door().stall(),
+                visitor::offered, whole -> {
+            visitor.relay = null;
+            if (whole) {
+                client.endExchange();
+            } else {
+                // A visible break: the length is short, or the last chunk is missing.
+                tally.replied(only(client.getRequestHeaders(), GRADE), Tally.Reply.ERROR);
+                IoUtils.safeClose(channel(client));
+            }
+        });
+        visitor.relay.run();
     }
 
     /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
@@ -406,17 +434,25 @@
         answer(client, status, new byte[0], IoCallback.END_EXCHANGE);
     }
 
-    private void answer(HttpServerExchange client, int status, byte[] body, IoCallback then) {
-        if (client.isResponseStarted() || client.isComplete()) {
-            return;
-        }
+    /** False where there is an answer already, or nobody to have it. */
+    private boolean begin(HttpServerExchange client, int status) {
         Visitors.Visitor visitor = client.getAttachment(VISITOR);
+        if (client.isResponseStarted() || client.isComplete() || !channel(client).isOpen()) {
+            return false;
+        }
         if (!visitor.keeps() || draining) {
             client.setPersistent(false);
         } else if (visitor.promise() > 0) {
             client.getResponseHeaders().put(KEEP_ALIVE, "timeout=" + visitor.promise());
         }
         client.setStatusCode(status);
+        return true;
+    }
+
+    private void answer(HttpServerExchange client, int status, byte[] body, IoCallback then) {
+        if (!begin(client, status)) {
+            return;
+        }
         client.setResponseContentLength(body.length);
         if (body.length == 0) {
             client.endExchange();
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -18,6 +18,9 @@
 
     void deliver(Taken taken, Answer answer);
 
+    /** Nobody wants the rest of an answer that is passed on. */
+    void drop(Answer answer);
+
     /** Ends an exchange as the decisions say; the retry-after is in seconds, 0 where there is none. */
     void giveUp(Taken taken, boolean shed, double retryAfter);
 
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -60,7 +60,7 @@
     final XnioIoThread io;
     final Dial dial;
     final ByteBufferPool buffers;
-    private final Clock clock;
+    final Clock clock;
     private final Budget budget;
     private final int most;
     private final Deque<Link> idle = new ArrayDeque<>();
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -181,6 +181,8 @@
             Taken taken = open.get(f.exchange);
             if (wins && taken != null) {
                 hands.deliver(taken, answer);
+            } else if (answer != null && answer.rest() != null) {
+                hands.drop(answer);
             }
             if (holdings != null) {
                 holdings.ended(tags[f.backend]);
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -220,6 +220,11 @@
         worker.shutdown();
     }
 
+    /** What is I/O's own is to be seen there only. */
+    void onIo(Runnable task) {
+        worker.getIoThread().execute(task);
+    }
+
     /** How many indexes classes have taken up. */
     int classesKnown() {
         return front.classesKnown();
@@ -272,6 +277,11 @@
             wishes.add(() -> front.deliver(taken, answer));
         }
 
+        @Override
+        public void drop(Answer answer) {
+            wishes.add(() -> answer.rest().drop());
+        }
+
         @Override
         public void giveUp(Taken taken, boolean shed, double retryAfter) {
             wishes.add(() -> front.giveUp(taken.client(), shed, retryAfter));
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -41,6 +41,8 @@
 
     /** One connection. What it says is heard below Undertow, which tells of whole requests only. */
     final class Visitor {
+        /** What is passed on to it; null where nothing is. */
+        Relay relay;
         /** What is open on it, if anything, and under which id. */
         Exchange exchange;
         private String trace;
@@ -148,6 +150,13 @@
             return door.promise(index);
         }
 
+        /** More of its answer is there. */
+        void offered() {
+            if (!gone) {
+                door.offered(index, clock.now());
+            }
+        }
+
         void turnedAway() {
             door.turnedAway(index, clock.now());
         }
@@ -297,6 +306,9 @@
         visitor.gone = true;
         byIndex[visitor.index] = null;
         all.remove(visitor.connection);
+        if (visitor.relay != null) {
+            visitor.relay.left();
+        }
         Exchange x = visitor.ended();
         if (x != null) {
             left.accept(x);
--- /dev/null
+++ b/src/test/java/lemondrift/serve/LongBodiesTest.java
@@ -0,0 +1,245 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import lemondrift.tally.Tally;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Bodies that are longer than what is held, and peers that are slow with them. */
+class LongBodiesTest extends Loopback {
+    private static byte[] bytes(int count) {
+        byte[] bytes = new byte[count];
+        new Random(count).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String length(byte[] body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n" + text(body);
+    }
+
+    private static String chunked(byte[] body, int chunk) {
+        StringBuilder all = new StringBuilder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int at = 0; at < body.length; at += chunk) {
+            byte[] part = Arrays.copyOfRange(body, at, Math.min(body.length, at + chunk));
+            all.append(Integer.toHexString(part.length)).append(";x=y\r\n").append(text(part)).append("\r\n");
+        }
+        return all.append("0\r\nTrailer: x\r\n\r\n").toString();
+    }
+
+    private Socket ask(String id) throws IOException {
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort());
+        client.setSoTimeout(20_000);
+        client.getOutputStream().write(("GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + id
+                + "\r\nX-Qos: look\r\nX-Expires-In-Ms: 4000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return client;
+    }
+
+    private byte[] body(String id) throws Exception {
+        var answer = http.send(request("look").setHeader("X-Trace-Id", id).build(),
+                java.net.http.HttpResponse.BodyHandlers.ofByteArray());
+        assertEquals(200, answer.statusCode());
+        return answer.body();
+    }
+
+    @Test
+    void longAnswersArePassedOnWholeHoweverTheyEnd() throws Exception {
+        byte[] long3 = bytes(3_000_000);
+        AtomicInteger asked = new AtomicInteger();
+        String[] answers = {length(long3), chunked(long3, 50_000), chunked(long3, 7000), OK,
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text(long3)};
+        StandIn backend = backend(request -> answers[asked.getAndIncrement() % answers.length]);
+        start(backend);
+        for (int i = 0; i < answers.length; i++) {
+            byte[] got = body("long-" + i);
+            assertArrayEquals(i == 3 ? "body".getBytes(StandardCharsets.US_ASCII) : long3, got, "" + i);
+        }
+        assertEquals(answers.length, backend.requests.size());
+    }
+
+    @Test
+    void oneThatBreaksInTheMiddleIsABreakAndNotSentAgain() throws Exception {
+        String half = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 300000\r\n\r\n"
+                + "x".repeat(100_000);
+        StandIn one = backend(half), other = backend(half);
+        start(one, other);
+        try (Socket client = ask("half")) {
+            byte[] all = client.getInputStream().readAllBytes();
+            assertTrue(text(all).startsWith("HTTP/1.1 200 OK\r\n") && all.length < 300_000, "" + all.length);
+        }
+        assertEquals(1, one.requests.size() + other.requests.size());
+        awaitReplies("look", "error", 1);
+    }
+
+    private void awaitReplies(String grade, String kind, int count) throws Exception {
+        int ordinal = Tally.Reply.valueOf(kind.toUpperCase(Locale.ROOT)).ordinal();
+        long[] counts = {};
+        for (long end = System.nanoTime() + 20_000_000_000L; System.nanoTime() < end;) {
+            var read = new CompletableFuture<long[]>();
+            proxy.onIo(() -> read.complete(proxy.operated().figures().replies().get(grade)));
+            counts = read.get();
+            if (counts[ordinal] == count) {
+                break;
+            }
+        }
+        assertEquals(count, counts[ordinal]);
+        assertEquals(count, Arrays.stream(counts).sum(), "counted once");
+    }
+
+    /** A backend that writes as fast as it can, and counts what the system has taken of it. */
+    private static final class Flood implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        final AtomicInteger taken = new AtomicInteger();
+        final CountDownLatch left = new CountDownLatch(1);
+
+        Flood(int total) throws IOException {
+            daemon(() -> {
+                try (Socket socket = server.accept()) {
+                    read(socket);
+                    String head = "HTTP/1.1 200 OK\r\nContent-Length: " + total + "\r\n\r\n";
+                    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                    byte[] piece = new byte[65_536];
+                    while (taken.get() < total) {
+                        socket.getOutputStream().write(piece);
+                        taken.addAndGet(piece.length);
+                    }
+                    socket.getInputStream().read();
+                } finally {
+                    left.countDown();
+                }
+            });
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    @Test
+    void whileTheClientDoesNotTakeNothingIsRead() throws Exception {
+        int total = 512 * 65_536;
+        try (Flood flood = new Flood(total)) {
+            start(false, flood.server.getLocalPort());
+            try (Socket client = ask("slow")) {
+                InputStream in = client.getInputStream();
+                int head = 0;
+                while (head < 4) {
+                    head = in.read() == "\r\n\r\n".charAt(head) ? head + 1 : 0;
+                }
+                int before = -1;
+                while (before != flood.taken.get()) {
+                    before = flood.taken.get();
+                    Thread.sleep(300);
+                }
+                assertTrue(before < total, "all of it would be held by somebody");
+                assertEquals(total, in.readNBytes(total).length);
+            }
+        }
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleEndsIt() throws Exception {
+        try (Flood flood = new Flood(512 * 65_536)) {
+            start(false, flood.server.getLocalPort());
+            try (Socket client = ask("leaves")) {
+                assertEquals('H', client.getInputStream().read());
+            }
+            assertTrue(flood.left.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void oneThatComesSlowlyAndNobodyKnowsHowLongIsPassedOnAsItComes() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            daemon(() -> {
+                try (Socket socket = server.accept()) {
+                    read(socket);
+                    socket.getOutputStream().write(CHUNKS.getBytes(StandardCharsets.US_ASCII));
+                    go.await(20, TimeUnit.SECONDS);
+                    String rest = "2\r\ndy\r\n0\r\n\r\n";
+                    socket.getOutputStream().write(rest.getBytes(StandardCharsets.US_ASCII));
+                    socket.getInputStream().read();
+                }
+            });
+            start(false, server.getLocalPort());
+            try (Socket client = ask("drip")) {
+                InputStream in = client.getInputStream();
+                StringBuilder got = new StringBuilder();
+                while (!got.toString().endsWith("bo")) {
+                    got.append((char) in.read());
+                }
+                go.countDown();
+                while (!got.toString().endsWith("\r\n0\r\n\r\n")) {
+                    got.append((char) in.read());
+                }
+                assertTrue(got.toString().contains("dy"), got.toString());
+            }
+        }
+    }
+
+    @Test
+    void whatIsSaidToBeEndlessIsSpoilt() throws Exception {
+        start(backend("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + "x".repeat(100_000)));
+        assertEquals(502, order("x").statusCode());
+    }
+
+    /** The same bytes in any pieces are the same answer. */
+    @Property(tries = 300)
+    void howItIsCutDoesNotMatter(@ForAll @IntRange(min = 0, max = 3000) int length,
+            @ForAll @IntRange(min = 1, max = 700) int chunk, @ForAll boolean chunks, @ForAll boolean atOnce,
+            @ForAll @IntRange(min = 1, max = 400) int cut, @ForAll long seed) throws IOException {
+        byte[] body = bytes(length);
+        byte[] all = ("HTTP/1.1 100 Continue\r\n\r\n" + (chunks ? chunked(body, chunk) : length(body)))
+                .getBytes(StandardCharsets.ISO_8859_1);
+        Random random = new Random(seed);
+        AnswerReader reader = new AnswerReader(1000, true);
+        ByteArrayOutputStream got = new ByteArrayOutputStream();
+        boolean isLong = false;
+        for (int at = 0; at < all.length;) {
+            int next = Math.min(all.length, at + (atOnce ? all.length : 1 + random.nextInt(cut)));
+            ByteBuffer piece = ByteBuffer.wrap(all, at, next - at).slice();
+            at = next;
+            if (!isLong) {
+                reader.read(piece);
+                isLong = reader.isLong();
+                if (isLong) {
+                    got.writeBytes(reader.begun(null).body());
+                }
+            }
+            if (isLong) {
+                for (ByteBuffer part = reader.piece(piece); part != null; part = reader.piece(piece)) {
+                    byte[] bytes = new byte[part.remaining()];
+                    part.get(bytes);
+                    got.writeBytes(bytes);
+                }
+            }
+            assertFalse(piece.hasRemaining());
+        }
+        assertEquals(length > 1000, isLong);
+        assertTrue(reader.isWhole());
+        assertArrayEquals(body, isLong ? got.toByteArray() : reader.answer().body());
+    }
+}
