--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -82,12 +82,22 @@
 
     private void begin(Forward f, Taken taken, InetSocketAddress to) {
         // The time that passed in the queues is the exchange's own.
-        double within = f.sent + f.timeOut - clock.now();
-        Call call = Call.passing(links(f.backend, to), request(taken, Math.round(f.timeOut * 1000)),
-                MOST_BODY, config.connectTimeout(), within, PATIENCE * within, tally::dispatched, answer -> {
+        Upload upload = taken.upload();
+        double within = upload == null ? f.sent + f.timeOut - clock.now() : upload.within;
+        if (upload != null && !upload.restart()) {
+            owner.ended(f, Outcome.MOOT, 0, null, null);
+            return;
+        }
+        long milliseconds = Math.round((upload == null ? f.timeOut : within) * 1000);
+        Call[] made = new Call[1];
+        Call call = Call.passing(links(f.backend, to), request(taken, milliseconds), MOST_BODY,
+                config.connectTimeout(), within, PATIENCE * within, tally::dispatched, answer -> {
                     calls.remove(f);
-                    owner.ended(f, outcome(answer), clock.now() - f.sent, report(answer), answer);
+                    // The time that an upload took is its client's, not the backend's.
+                    double began = upload == null ? f.sent : made[0].began();
+                    owner.ended(f, outcome(answer), clock.now() - began, report(answer), answer);
                 });
+        made[0] = call;
         if (call == null) {
             owner.ended(f, Outcome.MOOT, 0, null, null);
         } else {
@@ -97,7 +107,7 @@
     }
 
     /** The request as it came, but for what belongs to one connection and the time there is for it. */
-    private static byte[] request(Taken taken, long milliseconds) {
+    private static Call.Request request(Taken taken, long milliseconds) {
         HttpServerExchange client = taken.client();
         String query = client.getQueryString();
         StringBuilder head = new StringBuilder(256).append(client.getRequestMethod()).append(' ')
@@ -109,13 +119,15 @@
             }
         }
         head.append(EXPIRES).append(": ").append(milliseconds).append("\r\n");
-        if (taken.body().length > 0 || !client.getRequestMethod().equals(Methods.GET)) {
+        if (taken.upload() != null && taken.upload().isChunked()) {
+            head.append("Transfer-Encoding: chunked\r\n");
+        } else if (taken.upload() != null) {
+            head.append("Content-Length: ").append(client.getRequestContentLength()).append("\r\n");
+        } else if (taken.body().length > 0 || !client.getRequestMethod().equals(Methods.GET)) {
             head.append("Content-Length: ").append(taken.body().length).append("\r\n");
         }
         byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        byte[] whole = Arrays.copyOf(bytes, bytes.length + taken.body().length);
-        System.arraycopy(taken.body(), 0, whole, bytes.length, taken.body().length);
-        return whole;
+        return new Call.Request(bytes, taken.body(), taken.upload());
     }
 
     void cancel(Forward f) {
@@ -130,9 +142,9 @@
     void probe(int backend, InetSocketAddress to) {
         String path = config.reportNames().isEmpty() ? "/healthz" : "/load";
         Call call = Call.make(links(backend, to), Call.get(path, "backend"), MOST_BODY,
-                config.connectTimeout(), config.connectTimeout(), () -> { },
-                answer -> owner.probed(backend, outcome(answer), report(new String(answer.body(),
-                        StandardCharsets.ISO_8859_1), config.reportNames())));
+                config.connectTimeout(), config.connectTimeout(), answer -> owner.probed(backend,
+                        outcome(answer), report(new String(answer.body(), StandardCharsets.ISO_8859_1),
+                                config.reportNames())));
         if (call == null) {
             owner.probed(backend, Outcome.MOOT, null);
         } else {
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -15,9 +15,19 @@
  * One request on one connection and its answer, whole, or where it is long its beginning and then piece by
  * piece as it is asked for. It never tries again by itself. I/O thread only.
  */
-final class Call {
+final class Call implements Pieces {
+    /** What is to be sent; the upload, if any, follows in place of a body. */
+    record Request(byte[] head, byte[] body, Upload upload) {
+        Request(byte[] head) {
+            this(head, new byte[0], null);
+        }
+    }
+
     private final Links links;
-    private final ByteBuffer request;
+    private final ByteBuffer[] request;
+    private final Upload upload;
+    private Relay uploading;
+    private boolean uploaded;
     private final AnswerReader reader;
     private final Consumer<Answer> end;
     private final Runnable written;
@@ -28,34 +38,37 @@
     /** What has come of an answer that is passed on, and who is to hear of more. */
     private PooledByteBuffer passing;
     private Runnable more;
-    private double endless;
+    private double within, endless, began;
 
-    private Call(Links links, byte[] request, int most, boolean mayPass, Runnable written,
+    private Call(Links links, Request request, int most, boolean mayPass, Runnable written,
             Consumer<Answer> end) {
         this.links = links;
-        this.request = ByteBuffer.wrap(request);
+        this.request = new ByteBuffer[] {ByteBuffer.wrap(request.head), ByteBuffer.wrap(request.body)};
+        upload = request.upload;
         this.reader = new AnswerReader(most, mayPass);
         this.written = written;
         this.end = end;
     }
 
     /**
-     * A call to be started; written hears that its last byte is with the system, end of its answer, once and
-     * not after abandon. Null if there is no room.
+     * A call to be started; end hears of its answer once, not after abandon. Null if there is no room.
      */
     static Call make(Links links, byte[] request, int most, double connectTimeout, double within,
-            Runnable written, Consumer<Answer> end) {
-        return make(links, new Call(links, request, most, false, written, end), connectTimeout, within);
+            Consumer<Answer> end) {
+        Call call = new Call(links, new Request(request), most, false, () -> { }, end);
+        return make(links, call, connectTimeout, within);
     }
 
     /**
      * One whose answer may be passed on: when it is too long to be held, or nobody can say how long it will
-     * be and it has lasted so many seconds.
+     * be and it has lasted so many seconds. Written hears that its last byte is with the system; where the
+     * request is an upload that takes its time, both spans count from then on.
      */
-    static Call passing(Links links, byte[] request, int most, double connectTimeout, double within,
+    static Call passing(Links links, Request request, int most, double connectTimeout, double within,
             double endless, Runnable written, Consumer<Answer> end) {
         Call call = new Call(links, request, most, true, written, end);
-        call.endless = links.clock.now() + endless;
+        call.within = within;
+        call.endless = endless;
         return make(links, call, connectTimeout, within);
     }
 
@@ -64,7 +77,8 @@
         if (call.link == null && !links.reserve()) {
             return null;
         }
-        call.timer = call.after(within);
+        call.began = links.clock.now();
+        call.timer = call.upload == null ? call.after(within) : null;
         call.connectTimer = call.link == null ? call.after(connectTimeout) : null;
         return call;
     }
@@ -112,21 +126,49 @@
     private void write() {
         var sink = link.connection.getSinkChannel();
         try {
-            while (!done && request.hasRemaining()) {
+            while (!done && request[1].remaining() + request[0].remaining() > 0) {
                 if (sink.write(request) == 0) {
                     sink.resumeWrites();
                     return;
                 }
             }
             sink.suspendWrites();
-            if (!done) {
+            if (!done && upload == null) {
                 written.run();
+            } else if (!done) {
+                upload();
             }
         } catch (IOException e) {
             broken(false);
         }
     }
 
+    private void upload() {
+        // Danger: a backend that takes nothing would keep its client for ever. The giver is the door's.
+        uploading = new Relay(upload, link.connection.getSinkChannel(), links.io,
+                new Relay.Patience(0, upload.stall), () -> { }, whole -> {
+                    if (!whole) {
+                        broken(false);
+                        return;
+                    }
+                    uploaded = true;
+                    began = links.clock.now();
+                    timer = after(within);
+                    written.run();
+                });
+        uploading.run();
+    }
+
+    /** Whether its last byte is with the system. */
+    private boolean isSent() {
+        return request[1].remaining() + request[0].remaining() == 0 && (upload == null || uploaded);
+    }
+
+    /** When it began, or where it is an upload, when its last byte had gone. */
+    double began() {
+        return began;
+    }
+
     private void read() {
         PooledByteBuffer pooled = links.buffers.allocate();
         try {
@@ -145,9 +187,9 @@
                     broken(false);
                 }
             }
-            if (!done && reader.isEndless() && endless > 0 && passTimer == null) {
-                passTimer = links.io.executeAfter(this::pass,
-                        (long) (Math.max(0, endless - links.clock.now()) * 1e9), TimeUnit.NANOSECONDS);
+            if (!done && reader.isEndless() && endless > 0 && passTimer == null && isSent()) {
+                double left = Math.max(0, began + endless - links.clock.now());
+                passTimer = links.io.executeAfter(this::pass, (long) (left * 1e9), TimeUnit.NANOSECONDS);
             }
         } catch (IOException | RuntimeException e) {
             // Danger: an answer that makes a library fail would leave its forward without an end.
@@ -181,8 +223,8 @@
         return reader.declared();
     }
 
-    /** The next piece of what is passed on; null where it is whole, or has to come first. */
-    ByteBuffer next() throws IOException {
+    @Override
+    public ByteBuffer next() throws IOException {
         ByteBuffer raw = passing.getBuffer();
         for (int got = 1; got > 0; ) {
             ByteBuffer piece = reader.piece(raw);
@@ -200,12 +242,13 @@
         return null;
     }
 
-    boolean isWhole() {
+    @Override
+    public boolean isWhole() {
         return reader.isWhole();
     }
 
-    /** Has somebody hear once of more to be passed on. */
-    void awaitMore(Runnable then) {
+    @Override
+    public void awaitMore(Runnable then) {
         more = then;
         link.connection.getSourceChannel().setReadListener(source -> {
             source.suspendReads();
@@ -216,7 +259,7 @@
 
     /** What was passed on is whole. */
     void passed() {
-        boolean spent = passing.getBuffer().hasRemaining() || reader.closes() || request.hasRemaining();
+        boolean spent = passing.getBuffer().hasRemaining() || reader.closes() || !isSent();
         release();
         if (spent) {
             link.close();
@@ -241,7 +284,7 @@
     /** Danger: what lies beyond an answer, or is still to be sent, would be taken for the next exchange's. */
     private void whole(boolean spent) {
         finish();
-        if (spent || request.hasRemaining() || reader.closes()) {
+        if (spent || !isSent() || reader.closes()) {
             link.close();
         } else {
             links.back(link);
@@ -253,7 +296,7 @@
         if (!done) {
             abandon();
             // Danger: once the last byte is handed to the kernel it may have run, whatever is seen after.
-            end.accept(Answer.broken(!request.hasRemaining(), timedOut));
+            end.accept(Answer.broken(isSent(), timedOut));
         }
     }
 
@@ -275,7 +318,12 @@
 
     private void finish() {
         done = true;
-        timer.remove();
+        if (timer != null) {
+            timer.remove();
+        }
+        if (uploading != null) {
+            uploading.stop();
+        }
         if (connectTimer != null) {
             connectTimer.remove();
         }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -26,8 +26,9 @@
  * operators' is null where there is none.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        long seed, int sockets, Settings settings, List<String> gradeNames, List<String> tenantNames,
-        List<String> locations, List<String> reportNames, double idle, double connectTimeout,
+        long seed, int sockets, long memory, Settings settings, List<String> gradeNames,
+        List<String> tenantNames, List<String> locations, List<String> reportNames, double idle,
+        double connectTimeout,
         JsonObject known, Map<String, String> stated, Bounds door, Peers.Place peers, Settings shadow) {
     /** What is read once only, as a regular expression over the keys. */
     private static final String AT_A_START = "name|listen|admin_addr|limits\\..*|peer.*"
@@ -47,8 +48,9 @@
     }
 
     private Config with(InetSocketAddress admin, Bounds door, Peers.Place peers, Settings shadow) {
-        return new Config(name, listen, admin, discovery, seed, sockets, settings, gradeNames, tenantNames,
-                locations, reportNames, idle, connectTimeout, known, stated, door, peers, shadow);
+        return new Config(name, listen, admin, discovery, seed, sockets, memory, settings, gradeNames,
+                tenantNames, locations, reportNames, idle, connectTimeout, known, stated, door, peers,
+                shadow);
     }
 
     /** The same with another door. */
@@ -104,7 +106,8 @@
         return new Config(all.text("name", "proxy"), address("listen", all.text("listen", null)),
                 json.has("admin_addr") ? address("admin_addr", all.text("admin_addr", null)) : null,
                 address("discovery", all.text("discovery", null)), seed(all.text("seed", "0")),
-                sockets, settings, gradeNames(inner),
+                sockets, (long) (all.number("limits.memory_mb", 192) * (1 << 20)), settings,
+                gradeNames(inner),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
                 reader.number("limits.connectTimeout", 250) / 1000, known(json), stated(pairs),
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -5,7 +5,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
-import io.undertow.io.Receiver;
 import io.undertow.io.Sender;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
@@ -26,6 +25,7 @@
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lemondrift.body.Holding;
 import lemondrift.door.Intake;
 import lemondrift.model.Exchange;
 import lemondrift.model.Settings;
@@ -50,6 +50,11 @@
     private static final HttpString RETRY = new HttpString("X-Second-Try");
     private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
     private static final HttpString TENANT = new HttpString("X-Customer");
+    /** Bytes of the longest request. */
+    private static final long LONGEST_BODY = 40 << 20;
+    /** Bytes of one that are held, and the share of the proxy's memory that all of them may have. */
+    private static final int HELD = 256 * 1024;
+    private static final double HELD_SHARE = 1.0 / 12;
     /** An exchange's longest time in milliseconds. */
     private static final int LONGEST = 600_000;
     /** The connection that a request came on. */
@@ -65,6 +70,8 @@
     private final HttpOpenListener http;
     private final Visitors visitors;
     private final Intake<Taken> intake;
+    private final ByteBufferPool buffers;
+    private final Holding holding;
     /** What is stated now: which grade a name means, and what an exchange of each comes under. */
     private Grades grades;
     private volatile Terms[] terms;
@@ -81,6 +88,8 @@
         this.clock = clock;
         this.owner = owner;
         this.worker = worker;
+        this.buffers = buffers;
+        holding = new Holding(HELD, (long) (HELD_SHARE * config.memory()));
         intake = new Intake<>(config.settings().window());
         visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), tally, this::left);
         this.tally = tally;
@@ -173,12 +182,15 @@
         visitor.headRead();
         client.putAttachment(VISITOR, visitor);
         client.addExchangeCompleteListener((done, next) -> {
-            // What is turned away is counted with its answer, as its connection lingers; what was closed in
-            // the middle ends here too, and has no reply.
-            if (channel(done).isOpen() && !isTurnedAway(done.getStatusCode())) {
-                count(done);
+            // Danger: what was closed midway ends here too, before its client is seen to have gone, and
+            // what is out for it would stay out.
+            if (channel(done).isOpen()) {
+                // What is turned away is counted with its answer, as its connection lingers.
+                if (!isTurnedAway(done.getStatusCode())) {
+                    count(done);
+                }
+                visitor.answered();
             }
-            visitor.answered();
             busy = visitors.open() > 0;
             next.proceed();
         });
@@ -191,14 +203,65 @@
             reject(client, 400);
             return;
         }
-        if (client.getRequestContentLength() > Backends.MOST_BODY) {
+        if (client.getRequestContentLength() > LONGEST_BODY) {
             reject(client, 413);
+        } else if (client.isRequestComplete()) {
+            received(client, new byte[0]);
+        } else {
+            visitor.upload = new Upload(client, holding, buffers, LONGEST_BODY, config.door().stall(),
+                    hearer(client, visitor));
+            visitor.upload.hold();
+        }
+    }
+
+    private Upload.Hearer hearer(HttpServerExchange client, Visitors.Visitor visitor) {
+        return new Upload.Hearer() {
+            @Override
+            public void held(byte[] body) {
+                received(client, body);
+            }
+
+            @Override
+            public void passes(Upload upload) {
+                client.dispatch(SameThreadExecutor.INSTANCE, () -> pass(client, visitor, upload));
+            }
+
+            @Override
+            public void whole() {
+                visitor.whole();
+                watchForClose((AbstractServerConnection) client.getConnection());
+            }
+
+            @Override
+            public void letGo() {
+                owner.letGo(visitor.exchange);
+            }
+
+            @Override
+            public void failed(boolean tooLong) {
+                if (tooLong || visitor.exchange == null) {
+                    reject(client, tooLong ? 413 : 400);
+                } else {
+                    IoUtils.safeClose(channel(client));
+                }
+            }
+        };
+    }
+
+    /** Decided now and sent as it comes, with all the time that its client needs for it. */
+    private void pass(HttpServerExchange client, Visitors.Visitor visitor, Upload upload) {
+        Exchange usual = exchange(client.getRequestHeaders());
+        if (usual == null || !visitor.began(only(client.getRequestHeaders(), TRACE), usual)) {
+            reject(client, 400);
             return;
         }
-        Receiver receiver = client.getRequestReceiver();
-        receiver.setMaxBufferSize(Backends.MOST_BODY);
-        receiver.receiveFullBytes(this::received, (failed, e) ->
-                reject(failed, e instanceof Receiver.RequestToLargeException ? 413 : 400));
+        upload.within = Math.min(usual.expiry - usual.arrived, usual.terms.grade().contractTime());
+        double most = LONGEST / 1e3;
+        Exchange x = new Exchange(usual.id, usual.grade, usual.tenant, usual.arrived, most, usual.retry);
+        x.terms = usual.terms.within(most);
+        visitor.exchange = x;
+        busy = true;
+        offer(new Taken(x, client, new byte[0], upload));
     }
 
     private void count(HttpServerExchange answered) {
@@ -267,7 +330,9 @@
     }
 
     private void refuse(HttpServerExchange client, int status, Consumer<HttpServerExchange> then) {
-        client.getAttachment(VISITOR).turnedAway();
+        if (isTurnedAway(status)) {
+            client.getAttachment(VISITOR).turnedAway();
+        }
         answer(client, status, StatusCodes.getReason(status).getBytes(StandardCharsets.US_ASCII),
                 new IoCallback() {
                     @Override
@@ -295,9 +360,10 @@
                 turnAway(client);
                 return;
             }
+            visitor.whole();
             busy = true;
             watchForClose((AbstractServerConnection) client.getConnection());
-            offer(new Taken(x, client, body));
+            offer(new Taken(x, client, body, null));
         });
     }
 
@@ -407,18 +473,53 @@
         if (answer.rest().declared() >= 0) {
             client.setResponseContentLength(answer.rest().declared());
         }
-        visitor.relay = new Relay(client, answer, worker.getIoThread(), config.door().stall(),
-                visitor::offered, whole -> {
-            visitor.relay = null;
-            if (whole) {
-                client.endExchange();
-            } else {
-                // A visible break: the length is short, or the last chunk is missing.
-                tally.replied(only(client.getRequestHeaders(), GRADE), Tally.Reply.ERROR);
-                IoUtils.safeClose(channel(client));
+        Relay relay = new Relay(new Begun(answer), client.getResponseChannel(), worker.getIoThread(),
+                new Relay.Patience(config.door().stall(), 0), visitor::offered, whole -> {
+                    visitor.passing = null;
+                    if (whole) {
+                        answer.rest().passed();
+                        client.endExchange();
+                    } else {
+                        // A visible break: the length is short, or the last chunk is missing.
+                        answer.rest().drop();
+                        tally.replied(only(client.getRequestHeaders(), GRADE), Tally.Reply.ERROR);
+                        IoUtils.safeClose(channel(client));
+                    }
+                });
+        visitor.passing = () -> {
+            relay.stop();
+            answer.rest().drop();
+        };
+        relay.run();
+    }
+
+    /** A long answer from its beginning on. */
+    private static final class Begun implements Pieces {
+        private final Answer answer;
+        private boolean begun;
+
+        Begun(Answer answer) {
+            this.answer = answer;
+        }
+
+        @Override
+        public ByteBuffer next() throws IOException {
+            if (!begun) {
+                begun = true;
+                return ByteBuffer.wrap(answer.body());
             }
-        });
-        visitor.relay.run();
+            return answer.rest().next();
+        }
+
+        @Override
+        public boolean isWhole() {
+            return begun && answer.rest().isWhole();
+        }
+
+        @Override
+        public void awaitMore(Runnable then) {
+            answer.rest().awaitMore(then);
+        }
     }
 
     /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
@@ -427,7 +528,14 @@
             client.getResponseHeaders().put(Headers.RETRY_AFTER,
                     String.valueOf(Math.ceil(retryAfter * 1000) / 1000));
         }
-        end(client, shed ? 503 : 502);
+        int status = shed ? 503 : 502;
+        if (client.isRequestComplete()) {
+            end(client, status);
+        } else {
+            // Danger: an answer without a body would be held back until all of the request has come.
+            client.setPersistent(false);
+            refuse(client, status, done -> later(done, () -> IoUtils.safeClose(channel(done))));
+        }
     }
 
     private void end(HttpServerExchange client, int status) {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -214,6 +214,14 @@
         });
     }
 
+    /** Its request can't be sent whole any more. */
+    void letGo(Exchange x) {
+        put(x, () -> {
+            x.terms = x.terms.upTo(x.forwards);
+            return null;
+        });
+    }
+
     void listed(JsonObject list, boolean stale) {
         put(null, () -> {
             boolean whole = list.get("complete").getAsBoolean();
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Pieces.java
@@ -0,0 +1,16 @@
+package lemondrift.serve;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** A body that comes piece by piece. */
+interface Pieces {
+    /** The next one; null where it has to come first, or all have come. */
+    ByteBuffer next() throws IOException;
+
+    /** Whether next has given all. */
+    boolean isWhole();
+
+    /** Has somebody hear once that there may be more. */
+    void awaitMore(Runnable then);
+}
--- a/src/main/java/lemondrift/serve/Relay.java
+++ b/src/main/java/lemondrift/serve/Relay.java
@@ -1,6 +1,5 @@
 package lemondrift.serve;
 
-import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -10,33 +9,35 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /**
- * Passes a long answer on as it comes: nothing is read of the backend while the client does not take, so that
- * no more than one buffer is held. I/O thread only.
+ * Passes a body on as it comes: nothing is read of one side while the other does not take, so that no more
+ * than one buffer is held. I/O thread only.
  */
 final class Relay {
+    /** How many seconds either side may stand still; 0 where somebody else looks after it. */
+    record Patience(double giver, double taker) {}
+
     /** Pieces in a row. Danger: one quick pair would keep all others from the I/O thread. */
     private static final int AT_A_TIME = 16;
 
-    private final Call from;
+    private final Pieces from;
     private final StreamSinkChannel to;
     private final XnioIoThread io;
-    private final double stall;
+    private final Patience patience;
     private final Runnable offered;
     private final Consumer<Boolean> end;
     private ByteBuffer piece;
     private XnioExecutor.Key timer;
     private boolean over;
 
-    /** Offered hears of each piece, end once whether all was passed on, and not after the client has left. */
-    Relay(HttpServerExchange client, Answer begun, XnioIoThread io, double stall, Runnable offered,
+    /** Offered hears of each piece, end once whether all was passed on; neither does after stop. */
+    Relay(Pieces from, StreamSinkChannel to, XnioIoThread io, Patience patience, Runnable offered,
             Consumer<Boolean> end) {
-        this.offered = offered;
-        from = begun.rest();
-        piece = ByteBuffer.wrap(begun.body());
+        this.from = from;
+        this.to = to;
         this.io = io;
-        this.stall = stall;
+        this.patience = patience;
+        this.offered = offered;
         this.end = end;
-        to = client.getResponseChannel();
         to.getWriteSetter().set(sink -> run());
     }
 
@@ -47,11 +48,11 @@
         }
         stopTimer();
         try {
-            for (int i = 0; i < AT_A_TIME; i++) {
+            for (int i = 0; i < AT_A_TIME && !over; i++) {
                 if (piece != null && piece.hasRemaining()) {
                     to.write(piece);
                     if (piece.hasRemaining()) {
-                        to.resumeWrites();
+                        awaitTaker();
                         return;
                     }
                 }
@@ -59,45 +60,52 @@
                 piece = from.next();
                 offered.run();
                 if (piece == null && from.isWhole()) {
-                    from.passed();
                     finish(true);
-                    return;
-                } else if (piece == null && to.flush()) {
-                    timer = io.executeAfter(() -> broken(), (long) (stall * 1e9), TimeUnit.NANOSECONDS);
-                    from.awaitMore(this::run);
-                    return;
-                } else if (piece == null) {
-                    // What the client has not taken yet goes first.
-                    to.resumeWrites();
+                } else if (piece == null && !over) {
+                    awaitGiver();
                     return;
                 }
             }
-            io.execute(this::run);
+            if (!over) {
+                io.execute(this::run);
+            }
         } catch (IOException | RuntimeException e) {
-            broken();
+            if (!over) {
+                finish(false);
+            }
         }
     }
 
-    private void broken() {
-        if (!over) {
-            from.drop();
-            finish(false);
+    private void awaitTaker() {
+        to.resumeWrites();
+        startTimer(patience.taker);
+    }
+
+    private void awaitGiver() throws IOException {
+        // What the taker has not taken yet goes first.
+        if (to.flush()) {
+            startTimer(patience.giver);
+            from.awaitMore(this::run);
+        } else {
+            awaitTaker();
+        }
+    }
+
+    private void startTimer(double seconds) {
+        if (seconds > 0) {
+            timer = io.executeAfter(() -> finish(false), (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
         }
     }
 
     private void finish(boolean whole) {
-        over = true;
-        stopTimer();
+        stop();
         end.accept(whole);
     }
 
-    /** The client has gone, and nobody wants the rest. */
-    void left() {
-        if (!over) {
-            over = true;
-            stopTimer();
-            from.drop();
-        }
+    /** Nobody wants the rest. */
+    void stop() {
+        over = true;
+        stopTimer();
     }
 
     private void stopTimer() {
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -41,8 +41,11 @@
 
     /** One connection. What it says is heard below Undertow, which tells of whole requests only. */
     final class Visitor {
-        /** What is passed on to it; null where nothing is. */
-        Relay relay;
+        /** The answer that is passed on to it, and how that is ended; null where none is. */
+        Runnable passing;
+        /** The request's body that is read of it; null where none is. */
+        Upload upload;
+        private boolean whole;
         /** What is open on it, if anything, and under which id. */
         Exchange exchange;
         private String trace;
@@ -122,20 +125,27 @@
             door.headRead(index, clock.now());
         }
 
-        /** False where another exchange of this id is open. */
+        /** False where another exchange of this id is open. Its request need not have come whole. */
         boolean began(String id, Exchange x) {
             // Danger: two under one id could not be told apart by the backends.
             if (!traces.add(id)) {
                 return false;
             }
-            tally.taken();
             trace = id;
             exchange = x;
-            benefit = 0;
-            door.opened(index, x.tenant, clock.now());
             return true;
         }
 
+        /** All of its request has come. */
+        void whole() {
+            if (!gone && !whole) {
+                whole = true;
+                tally.taken();
+                benefit = 0;
+                door.opened(index, exchange.tenant, clock.now());
+            }
+        }
+
         void brings(double delivered) {
             benefit = delivered;
         }
@@ -177,9 +187,14 @@
         private Exchange ended() {
             Exchange x = exchange;
             traces.remove(trace);
-            if (x != null) {
+            if (whole) {
                 tally.ended();
             }
+            whole = false;
+            if (upload != null) {
+                upload.release();
+                upload = null;
+            }
             exchange = null;
             trace = null;
             return x;
@@ -306,8 +321,8 @@
         visitor.gone = true;
         byIndex[visitor.index] = null;
         all.remove(visitor.connection);
-        if (visitor.relay != null) {
-            visitor.relay.left();
+        if (visitor.passing != null) {
+            visitor.passing.run();
         }
         Exchange x = visitor.ended();
         if (x != null) {
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -81,7 +81,7 @@
         String path = "/v1/servers" + (revision < 0 ? "" : "?from=" + revision + "&hold_ms="
                 + Math.round(HOLD * 1000));
         call = Call.make(links, Call.get(path, links.address.getHostString()), MOST_LIST, SLACK,
-                revision < 0 ? SLACK : HOLD + SLACK, () -> { }, this::answered);
+                revision < 0 ? SLACK : HOLD + SLACK, this::answered);
         if (call == null) {
             failed("no connection free");
         } else {
--- a/src/test/java/lemondrift/serve/LongBodiesTest.java
+++ b/src/test/java/lemondrift/serve/LongBodiesTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.http.HttpRequest.BodyPublishers;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -206,6 +207,237 @@
         assertEquals(502, order("x").statusCode());
     }
 
+    /** A backend that notes a request's head and body, decoded, as they come. */
+    private static final class Sink implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        final AtomicInteger came = new AtomicInteger(), requests = new AtomicInteger();
+        final CountDownLatch left = new CountDownLatch(1);
+        volatile String head = "";
+
+        /** Breaks off after so many bytes. */
+        Sink(int breaks) throws IOException {
+            daemon(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    daemon(() -> serve(socket, breaks));
+                }
+            });
+        }
+
+        private void serve(Socket socket, int breaks) throws IOException {
+            try (socket) {
+                InputStream in = socket.getInputStream();
+                while (true) {
+                    serve(in, breaks);
+                    socket.getOutputStream().write(OK.getBytes(StandardCharsets.US_ASCII));
+                }
+            } finally {
+                left.countDown();
+            }
+        }
+
+        private void serve(InputStream in, int breaks) throws IOException {
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf("\r\n\r\n") < 0) {
+                int c = in.read();
+                if (c < 0) {
+                    throw new IOException("ended");
+                }
+                text.append((char) c);
+            }
+            head = text.toString();
+            if (head.contains("chunked")) {
+                for (int size = line(in); size > 0; size = line(in)) {
+                    take(in, size, breaks);
+                    line(in);
+                }
+                line(in);
+            } else {
+                int at = head.indexOf("Content-Length: ") + 16;
+                take(in, Integer.parseInt(head.substring(at, head.indexOf('\r', at))), breaks);
+            }
+            requests.incrementAndGet();
+        }
+
+        private void take(InputStream in, int count, int breaks) throws IOException {
+            for (int got = 0; got < count;) {
+                byte[] piece = in.readNBytes(Math.min(4096, count - got));
+                if (piece.length == 0 || came.addAndGet(piece.length) > breaks) {
+                    throw new IOException("broken off");
+                }
+                body.writeBytes(piece);
+                got += piece.length;
+            }
+        }
+
+        private static int line(InputStream in) throws IOException {
+            StringBuilder text = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    throw new IOException("ended");
+                }
+                text.append((char) c);
+            }
+            String line = text.toString().strip();
+            return line.isEmpty() ? 0 : Integer.parseInt(line, 16);
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private static final int NEVER = Integer.MAX_VALUE;
+
+    private Socket post(String id, String framing) throws IOException {
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort());
+        client.setSoTimeout(20_000);
+        client.getOutputStream().write(("POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + id + "\r\nX-Qos: order"
+                + "\r\nX-Expires-In-Ms: 4000\r\n" + framing + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
+        return client;
+    }
+
+    @Test
+    void longUploadsComeWholeWithAndWithoutALength() throws Exception {
+        byte[] body = bytes(3_000_000);
+        for (boolean chunks : new boolean[] {false, true}) {
+            try (Sink sink = new Sink(NEVER)) {
+                start(false, sink.server.getLocalPort());
+                var publisher = chunks ? BodyPublishers.fromPublisher(BodyPublishers.ofByteArray(body))
+                        : BodyPublishers.ofByteArray(body);
+                assertEquals(200, send(request("order").POST(publisher)).statusCode());
+                assertArrayEquals(body, sink.body.toByteArray());
+                assertEquals(chunks, sink.head.contains("Transfer-Encoding: chunked\r\n"));
+                proxy.drain();
+            }
+        }
+    }
+
+    @Test
+    void whatIsHeldIsSentAgainWhereItNeverRan() throws Exception {
+        StandIn full = backend(NEVER_RAN), sound = backend(OK);
+        start(full, sound);
+        String body = "x".repeat(200_000);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, order(body).statusCode());
+            assertTrue(sound.requests.take().endsWith("\r\n\r\n" + body));
+        }
+    }
+
+    @Test
+    void whileNothingIsLetGoAnotherBackendCanHaveIt() throws Exception {
+        try (Sink sink = new Sink(NEVER)) {
+            StandIn closed = backend(OK);
+            closed.server.close();
+            start(false, closed.port(), sink.server.getLocalPort());
+            byte[] body = bytes(700_000);
+            for (int i = 0; i < 3; i++) {
+                sink.body.reset();
+                assertEquals(200, send(request("order").setHeader("X-Trace-Id", "u" + i)
+                        .POST(BodyPublishers.ofByteArray(body))).statusCode());
+                assertArrayEquals(body, sink.body.toByteArray());
+            }
+        }
+    }
+
+    /** Longer than its contract time of 1.5 s: the time for the answer counts from the last byte. */
+    @Test
+    void anUploadMayTakeItsTime() throws Exception {
+        try (Sink sink = new Sink(NEVER)) {
+            start(false, sink.server.getLocalPort());
+            byte[] body = bytes(1_000_000);
+            try (Socket client = post("slow", "Content-Length: " + body.length)) {
+                for (int at = 0; at < body.length; at += 250_000) {
+                    client.getOutputStream().write(body, at, 250_000);
+                    Thread.sleep(600);
+                }
+                assertTrue(read(client).startsWith("HTTP/1.1 200 "));
+            }
+            assertArrayEquals(body, sink.body.toByteArray());
+        }
+    }
+
+    @Test
+    void aBackendThatBreaksOffIsAnsweredForAtOnceAndNoneHasARest() throws Exception {
+        try (Sink one = new Sink(400_000); Sink other = new Sink(400_000)) {
+            start(false, one.server.getLocalPort(), other.server.getLocalPort());
+            try (Socket client = post("broken", "Content-Length: 30000000")) {
+                try {
+                    for (int i = 0; i < 300; i++) {
+                        client.getOutputStream().write(new byte[100_000]);
+                    }
+                } catch (IOException e) {
+                    // The answer is out, and what is still sent is read by nobody.
+                }
+                assertEquals(0, Math.min(one.came.get(), other.came.get()), "only one has had any of it");
+            }
+            awaitReplies("order", "overload", 1);
+            assertEquals(0, one.requests.get() + other.requests.get());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleOfAnUploadEndsIt() throws Exception {
+        try (Sink sink = new Sink(NEVER)) {
+            start(false, sink.server.getLocalPort());
+            try (Socket client = post("left", "Transfer-Encoding: chunked")) {
+                client.getOutputStream().write(("f4240\r\n" + "x".repeat(500_000))
+                        .getBytes(StandardCharsets.US_ASCII));
+                while (sink.came.get() < 400_000) {
+                    Thread.onSpinWait();
+                }
+            }
+            assertTrue(sink.left.await(20, TimeUnit.SECONDS));
+            assertEquals(0, sink.requests.get());
+            assertEquals(200, order("x").statusCode());
+        }
+    }
+
+    @Test
+    void chunksWithoutEndAndChunksThatAreNoneAreTurnedAway() throws Exception {
+        try (Sink sink = new Sink(NEVER)) {
+            start(false, sink.server.getLocalPort());
+            try (Socket client = post("odd", "Transfer-Encoding: chunked")) {
+                client.getOutputStream().write("zz\r\n".getBytes(StandardCharsets.US_ASCII));
+                String answer = read(client);
+                assertTrue(answer == null || answer.startsWith("HTTP/1.1 400 "), answer);
+            }
+            try (Socket client = post("endless", "Transfer-Encoding: chunked")) {
+                byte[] chunk = ("40000\r\n" + "x".repeat(0x40000) + "\r\n")
+                        .getBytes(StandardCharsets.US_ASCII);
+                assertThrows(IOException.class, () -> {
+                    for (int i = 0; i < 400; i++) {
+                        client.getOutputStream().write(chunk);
+                    }
+                });
+            }
+            assertEquals(0, sink.requests.get());
+            awaitReplies("order", "error", 1);
+        }
+    }
+
+    @Test
+    void withLittleMemoryMoreIsPassedOn() throws Exception {
+        changed = config -> Config.read(config(discovery.port(), false).replace("\"sockets\":64",
+                "\"sockets\":64,\"memory_mb\":0.1"));
+        try (Sink sink = new Sink(NEVER)) {
+            start(false, sink.server.getLocalPort());
+            byte[] body = bytes(60_000);
+            try (Socket client = post("little", "Content-Length: " + body.length)) {
+                client.getOutputStream().write(body, 0, 30_000);
+                while (sink.came.get() < 8192) {
+                    Thread.onSpinWait();
+                }
+                client.getOutputStream().write(body, 30_000, 30_000);
+                assertTrue(read(client).startsWith("HTTP/1.1 200 "));
+            }
+            assertArrayEquals(body, sink.body.toByteArray());
+        }
+    }
+
     /** The same bytes in any pieces are the same answer. */
     @Property(tries = 300)
     void howItIsCutDoesNotMatter(@ForAll @IntRange(min = 0, max = 3000) int length,
