Two processes of one proxy share its places, bytes and cold budgets during an upgrade

Need: descriptors, memory and a cold backend's budget count for both processes together; 197 of 384 descriptors so far only by little traffic. Change: succession.Succession over two locked files in $TMPDIR (Meeting): FOLLOWED or BESIDE keep to half of the places (Config.share, with each one's own 40 descriptors taken off), of the bytes that are held and of the connections to backends, and Settings.sharedBy doubles the balancer count for the estimate and the cold budgets. Nothing of it without an inherited socket.

--- a/src/main/java/lemondrift/body/Holding.java
+++ b/src/main/java/lemondrift/body/Holding.java
@@ -6,7 +6,7 @@
  */
 public final class Holding {
     private final int each;
-    private final long all;
+    private long all;
     private long held;
 
     /** So many bytes of one body at the most, and so many of all; both 0 or more. */
@@ -18,6 +18,11 @@
         this.all = all;
     }
 
+    /** So many bytes of all from now on; what is held already may be more for a while. */
+    public void all(long most) {
+        all = most;
+    }
+
     /** Whether more of one that has so many held may be held; if so it counts until it is let go. */
     public boolean takes(int has, int more) {
         if (more > each - has || more > all - held) {
--- a/src/main/java/lemondrift/door/Door.java
+++ b/src/main/java/lemondrift/door/Door.java
@@ -57,7 +57,7 @@
     private final double[] came, since, due, drainAt;
     private final long[][] closed = new long[State.values().length][Reason.values().length];
 
-    private int used;
+    private int used, places;
     /**
      * When something was told last, and the time for which the process stood still, which counts for nobody.
      */
@@ -71,6 +71,7 @@
         chance = new SplittableRandom(seed);
         // Danger: the system may count one as closed before it is told here, and its successor needs an
         // index.
+        places = bounds.places();
         int last = bounds.last() + SLACK + bounds.last() / SLACK;
         sources = new Sources(last);
         crowd = new Crowd(last, bounds.memory());
@@ -151,9 +152,14 @@
         return state.length;
     }
 
+    /** Only so many connections are to stay from now on, of those that its bounds allow. */
+    public void places(int many) {
+        places = Math.min(bounds.places(), Math.max(1, many));
+    }
+
     /** Whether there are more than there should be, so that some must give way. */
     public boolean isCrowded() {
-        return used > bounds.places();
+        return used > places;
     }
 
     /** So many bytes came on a connection, 1 or more. */
@@ -238,7 +244,7 @@
     /** Places that stand unused, as a ratio to how many may before they have their full price. */
     private double unusedShare() {
         int busy = orders.get(State.OPEN).size() + orders.get(State.FETCHING).size();
-        return (used - busy) / (Bounds.UNUSED * bounds.places());
+        return (used - busy) / (Bounds.UNUSED * places);
     }
 
     /** What a place costs for a second, in connections opened again: nothing while most of them are free. */
@@ -345,7 +351,7 @@
                 crowd.mayYield(i, source[i]);
             }
         }
-        crowd.yield(used - bounds.places(), t, i -> {
+        crowd.yield(used - places, t, i -> {
             // Danger: a request that has come and waits unread, after a pause of the process, would be lost.
             boolean silent = answers[i] == 0 && state[i] != State.NEW || hands.isSilent(i);
             if (silent) {
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -38,6 +38,12 @@
                 to.excessBenefit, to.marksRetries, reports, to.limits, to.rules, to.charges, sizes);
     }
 
+    /** The same where each proxy is so many processes, with the work and the budgets of one together. */
+    public Settings sharedBy(int processes) {
+        return new Settings(balancers * processes, locations, location, listOnRequest, grades, tenantQuota,
+                excessBenefit, marksRetries, reports, limits, rules, charges, sizes);
+    }
+
     /** The same where lists tell no sizes that hold. */
     public Settings(int balancers, int locations, int location, boolean listOnRequest,
             List<ServiceGrade> grades, double[] tenantQuota, double excessBenefit, boolean marksRetries,
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -159,6 +159,11 @@
         }
     }
 
+    /** A share of its connections is this process's from now on. */
+    void share(double share) {
+        budget.most((int) (share * SHARE * config.connections()));
+    }
+
     void stop() {
         sweep.remove();
     }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -43,6 +43,11 @@
         return connections(sockets);
     }
 
+    /** The share of them that each of so many processes may hold, as each has descriptors of its own too. */
+    double share(int processes) {
+        return processes == 1 ? 1 : (double) connections(sockets / processes) / connections(sockets);
+    }
+
     private static int connections(int sockets) {
         return Math.max(OTHERS, sockets - OTHERS);
     }
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -110,6 +110,15 @@
         tally.grades(other.names());
     }
 
+    /** A share of what it may use is this process's from now on. I/O thread only. */
+    void share(double share, int processes) {
+        visitors.share(share);
+        holding.all((long) (HELD_SHARE * config.memory() / processes));
+        if (inherited != null) {
+            inherited.most((int) (share * config.door().last()));
+        }
+    }
+
     int classesKnown() {
         return terms.length;
     }
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -39,7 +39,7 @@
 
     /** How many connections may be open over all pools that share it, and the idle ones, oldest first. */
     static final class Budget {
-        private final int most;
+        private int most;
         private final Set<Link> idle = new LinkedHashSet<>();
         private int open;
 
@@ -47,6 +47,14 @@
             this.most = most;
         }
 
+        /** Another bound; what stands idle beyond it is closed. */
+        void most(int other) {
+            most = other;
+            while (open > most && !idle.isEmpty()) {
+                idle.iterator().next().close();
+            }
+        }
+
         /** Danger: pools that stand idle would keep an exchange from the backend that was picked for it. */
         private boolean hasRoom() {
             if (open >= most && !idle.isEmpty()) {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -65,6 +65,7 @@
     /** What is stated now, the grades under the indexes that exchanges name. */
     private Grades grades;
     private Settings settings;
+    private int processes = 1;
 
     Owner(Balancer balancer, Directory directory, Clock clock, Hands hands, Grades grades,
             Settings settings) {
@@ -214,6 +215,15 @@
         });
     }
 
+    /** So many processes share what is this proxy's, its part of a cold backend's budget too. */
+    void sharedBy(int many) {
+        put(null, () -> {
+            processes = many;
+            balancer.stated(settings.sharedBy(many), List.of());
+            return null;
+        });
+    }
+
     /** Its request can't be sent whole any more. */
     void letGo(Exchange x) {
         put(x, () -> {
@@ -246,7 +256,7 @@
             grades = grades.retuned(names, to.grades(),
                     i -> open.keySet().stream().anyMatch(x -> x.grade == i));
             settings = settings.retuned(to, grades.indexed());
-            balancer.stated(settings, grades.fresh());
+            balancer.stated(settings.sharedBy(processes), grades.fresh());
             if (shadow != null && watched != null) {
                 watch(s -> s.stated(watched.retuned(watched, grades.indexed(watched.grades())),
                         grades.fresh()));
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -8,6 +8,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import lemondrift.decide.Balancer;
 import lemondrift.model.Forward;
 import lemondrift.model.Settings;
@@ -41,6 +42,9 @@
      */
     private static final double SENT_AWAY = 1.6;
 
+    /** Seconds between two looks for another process. A start takes several times as long. */
+    private static final double LOOKS = 0.25;
+
     private static final OptionMap NO_DELAY = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final Clock clock = Clock.system();
@@ -191,6 +195,27 @@
         front.accepted(connection);
     }
 
+    /** So many processes share what the platform gives this proxy. */
+    void sharedBy(int processes) {
+        double share = config.share(processes);
+        worker.getIoThread().execute(() -> {
+            front.share(share, processes);
+            backends.share(share);
+        });
+        owner.sharedBy(processes);
+    }
+
+    /** Looks from time to time who else is there, and keeps to its part. Before serving. */
+    void meets(Meeting meeting) {
+        meeting.look();
+        sharedBy(meeting.processes());
+        worker.getIoThread().executeAtInterval(() -> worker.execute(() -> {
+            if (meeting.look()) {
+                sharedBy(meeting.processes());
+            }
+        }), (long) (LOOKS * 1e9), TimeUnit.NANOSECONDS);
+    }
+
     /** Takes clients as long as they come, answers all that was taken, and returns. */
     void drain() throws InterruptedException {
         double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -46,11 +47,15 @@
             }
             ServerSocketChannel given = given(environment.get("PROXY_INHERITED_FD"));
             XnioWorker worker = serving ? Proxy.worker() : null;
+            Meeting meeting = given == null ? null : meeting(environment.get("TMPDIR"), config.name());
             // Before the rehearsal, so that who asks meanwhile hears that it is not ready.
             Admin admin = serving && config.admin() != null ? new Admin(config.admin(), worker) : null;
             rehearse(config);
             if (serving) {
                 proxy.set(new Proxy(config, worker));
+                if (meeting != null) {
+                    proxy.get().meets(meeting);
+                }
                 LOG.info("{} starts, listens on {}", config.name(), config.listen());
                 proxy.get().serve(given);
                 if (admin != null) {
@@ -68,6 +73,13 @@
         }
     }
 
+    /** Others are to know of this process as soon as it starts, so that they make room. */
+    private static Meeting meeting(String folder, String name) {
+        Meeting meeting = new Meeting(Path.of(folder == null ? "/tmp" : folder), name);
+        meeting.look();
+        return meeting;
+    }
+
     /** The listening socket that the platform holds; null where it holds none. */
     private static ServerSocketChannel given(String descriptor) throws IOException {
         if (descriptor == null) {
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -220,6 +220,7 @@
     private final XnioIoThread io;
     private final Door door;
     private final double sweep;
+    private final int places;
     private final Tally tally;
     private final Visitor[] byIndex;
     private final Map<StreamConnection, Visitor> all = new HashMap<>();
@@ -237,6 +238,7 @@
         this.left = left;
         door = new Door(bounds, this, seed);
         sweep = bounds.sweep();
+        places = bounds.places();
         byIndex = new Visitor[door.indexes()];
         // Danger: a class that is first needed when descriptors have run out may not be loaded any more.
         door.sweep(clock.now());
@@ -247,6 +249,11 @@
         sweeping = io.executeAtInterval(this::sweep, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
+    /** A share of its places is this process's from now on. */
+    void share(double share) {
+        door.places((int) (share * places));
+    }
+
     /** How many have an exchange open. */
     int open() {
         return traces.size();
--- a/src/test/java/lemondrift/LayersTest.java
+++ b/src/test/java/lemondrift/LayersTest.java
@@ -12,6 +12,7 @@
 class LayersTest {
     private static final String[] CORES = {"lemondrift.model..", "lemondrift.decide..", "lemondrift.door..",
         "lemondrift.peer..", "lemondrift.shadow..", "lemondrift.tally..", "lemondrift.body..",
+        "lemondrift.succession..",
         "lemondrift.lab.world.."};
 
     private final JavaClasses all = new ClassFileImporter()
--- a/src/test/java/lemondrift/door/DoorTest.java
+++ b/src/test/java/lemondrift/door/DoorTest.java
@@ -236,6 +236,27 @@
         assertTrue(street.clients.containsKey(quick), "2.2 KiB a second is progress");
     }
 
+    @Test
+    void withFewerPlacesTheQuietGiveWayAndComeBackWhenThereAreMore() {
+        Street street = new Street(Street.bounds(20, EACH));
+        for (int i = 0; i < 4; i++) {
+            assertTrue(street.asks(street.comes()));
+        }
+        int open = street.comes();
+        street.opens(open, 0);
+        street.door.places(2);
+        street.door.makeRoom(street.now);
+        assertEquals(2, street.clients.size());
+        assertTrue(street.clients.containsKey(open), "an open exchange gives way to nothing");
+        street.door.places(1000);
+        for (int i = 0; i < 18; i++) {
+            street.comes();
+        }
+        assertFalse(street.door.isCrowded(), "20 as ever");
+        street.comes();
+        assertTrue(street.door.isCrowded());
+    }
+
     @Test
     void aHeadMayTakeTwoSecondsAndABodyPauseAsLong() {
         Street street = new Street(Street.bounds(20, EACH));
