Where reports can't be asked for, one counts for eight windows instead of an eighth

Half of the backends held 4 to 15 exchanges while the other half was idle: all proxies of the lab stood in the first location, and the part asked is ordered by estimate plus crossing's charge, so that the least of the three asked near lies under the mean that all unheard ones count with, and asking stops there (Selection.asks).

Change: horizon() is the memory (eight windows) where nobody can be asked and reports are fresh when they come, and an eighth of a window elsewhere. Spans follow a retune.

The test fails with the eighth.

--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -5,43 +5,49 @@
 
 /** The design's figure: a backend's last report plus own sends since times one exchange's worth. */
 final class Estimate {
-    /** Windows over which own figures are remembered, the wait met lately is taken, and reports fade. */
-    private static final double MEMORY = 8, MET = 2, FADE = 0.125;
+    /** Windows of memory, of the wait met lately, and over which reports fade; what asking may cost. */
+    private static final double MEMORY = 8, MET = 2, FADE = 0.125, MOST_COST = 0.03;
+    /** How many are asked for reports at a time and how often, where probes are cheap. */
+    static final int ASKED = 3, ROUNDS = 4;
     /** Floor and cap of a service time to the usual, a quick answer's least step, outcomes to be sure by. */
     private static final double SPREAD = 2, STEP = 0.02, FEW = 8;
 
-    /** The window of the design page, and spans in which things fade. */
-    double window, memory, horizon;
+    /** The window of the design page, and the span over which own figures are remembered. */
+    double window, memory;
     private final Fleet fleet;
     /** Answer times' lower quartile (three steps down balance one up) and number; time per one ahead. */
     private double quick, answers, pace;
     /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
     private double period, told, born, allOut;
     /** Own exchanges a second, the mean wait met, and the reports heard lately and their number. */
-    final Faded ownRate, metWait;
-    private final Faded heard, heards;
+    final Faded ownRate = new Faded(1), metWait = new Faded(1);
+    private final Faded heard = new Faded(1), heards = new Faded(1);
 
-    private double[] report = {}, reportedAt = {}, sends = {}, rated = {};
-    /** Where other proxies tell what they have out: that, and the last reports' use and exchanges held. */
+    private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, use = {}, held = {};
+    /** Where other proxies tell what they have out: that. */
     boolean othersHeard;
     double[] others = {};
-    private double[] use = {}, held = {};
 
     Estimate(Fleet fleet) {
         this.fleet = fleet;
         stated();
         pace = quick = window / 16;
         told = fleet.stated.reports().rate() < 0 ? 0 : quick;
-        ownRate = new Faded(memory);
-        metWait = new Faded(memory);
-        heard = new Faded(horizon);
-        heards = new Faded(horizon);
     }
 
     void stated() {
         window = fleet.stated.window();
-        memory = MEMORY * window;
-        horizon = FADE * window;
+        ownRate.span = metWait.span = memory = MEMORY * window;
+    }
+
+    /** How often an exchange may ask for reports. */
+    int rounds() {
+        return old() ? 0 : (int) Math.min(ROUNDS, MOST_COST / ASKED / fleet.stated.probeCharge());
+    }
+
+    /** How long a report counts: where none can be asked for, until the next may come by itself. */
+    private double horizon() {
+        return old() || rounds() > 0 ? FADE * window : memory;
     }
 
     void listed() {
@@ -82,6 +88,7 @@
         report[i] = delivered ? busy : Math.max(busy, mean(now));
         reportedAt[i] = now;
         sends[i] = 0;
+        heard.span = heards.span = horizon();
         heard.add(busy, now);
         heards.add(1, now);
     }
@@ -121,7 +128,7 @@
     }
 
     double trust(int i, double now) {
-        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon);
+        return reportedAt[i] == 0 ? 0 : Math.exp((reportedAt[i] - now) / horizon());
     }
 
     /** The estimate. What a report no longer tells, being old, the mean and own forwards out do. */
@@ -173,7 +180,7 @@
 
     /** Whether reports are refreshed so seldom that one is old when it comes. */
     boolean old() {
-        return period > horizon;
+        return period > FADE * window;
     }
 
     void forget(int i) {
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -7,10 +7,8 @@
 
 /** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
-    /** The share that a utilisation higher by one makes late; what asking may cost; an old tie's width. */
-    private static final double HARM = 0.5, MOST_COST = 0.03, TIE = 0.125;
-    /** How many are asked for reports at a time and how often, where probes are cheap. */
-    private static final int ASKED = 3, ROUNDS = 4;
+    /** The share that a utilisation higher by one makes late; an old tie's width. */
+    private static final double HARM = 0.5, TIE = 0.125;
     /** A report trusted this much is fresh; an answer is awaited for this share of the window. */
     private static final double FRESH = 0.6, PATIENCE = 1.0 / 32;
 
@@ -38,7 +36,7 @@
     /** How many backends this proxy hears from often enough to know them; all of them in a small fleet. */
     private int part(double now) {
         double heard = estimate.ownRate.at(now) * estimate.memory;
-        return (int) Math.min(fleet.order.length, Math.max(ROUNDS * ASKED, heard));
+        return (int) Math.min(fleet.order.length, Math.max(Estimate.ROUNDS * Estimate.ASKED, heard));
     }
 
     /** Exchanges one of the part from time to time, and at once whoever can't be used. */
@@ -88,13 +86,11 @@
         }
         int part = part(now);
         rank(x, part, now);
-        double rounds = Math.floor(Math.min(ROUNDS, MOST_COST / ASKED / fleet.stated.charges().probe()));
-        if (x.asks >= (estimate.old() || !fleet.stated.limits().probes() ? 0 : rounds)
-                || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
+        if (x.asks >= estimate.rounds() || x.best < 0 || estimate.trust(x.best, now) > FRESH) {
             return false;
         }
         x.asks++;
-        x.asked = Arrays.copyOf(fleet.order, Math.min(ASKED, part));
+        x.asked = Arrays.copyOf(fleet.order, Math.min(Estimate.ASKED, part));
         for (int i : x.asked) {
             if (askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
                 askedAt[i] = now;
@@ -121,9 +117,9 @@
 
     /** The wait to expect: at the least loaded backend, and as own forwards meet it where reports are old. */
     double expectedWait(Exchange x, double now) {
-        double known = x.best < 0 ? 0 : estimate.trust(x.best, now);
         return x.best < 0 ? Double.POSITIVE_INFINITY : estimate.old() ? estimate.ownWait(x.best, now)
-                : Math.max((1 - known) * estimate.metWait.at(now), estimate.wait(x.best, now));
+                : Math.max((1 - estimate.trust(x.best, now)) * estimate.metWait.at(now),
+                estimate.wait(x.best, now));
     }
 
     /** The least wait to expect in the part as it stands; infinite where none may take the exchange. */
@@ -138,8 +134,7 @@
         x.latest = new Forward(x, x.best, now, x.contract - now, Math.max(0, estimate.of(x.best, now) - 1));
         x.forwards++;
         x.out++;
-        x.asks = 0;
-        x.draws = 0;
+        x.asks = x.draws = 0;
         turn.sends.add(x.latest);
         estimate.sent(x.best, 1, now);
     }
--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -72,11 +72,11 @@
         };
     }
 
-    /** The settings that the lab's proxies are told. */
-    public static Settings settings(int proxies) {
-        return new Settings(proxies, 2, 0, false, GRADES, new double[0], 1, false,
+    /** The settings that the lab's proxies are told; probe is what one costs, as a share of an exchange. */
+    public static Settings settings(int proxies, int locations, double probe) {
+        return new Settings(proxies, locations, 0, false, GRADES, new double[0], 1, false,
                 new Settings.Reports(true, 0, 1, false, -1), new Settings.Limits(true, true, 4, 0.5),
-                new Settings.Rules(0.3, 6, 3, 2, 10), new Settings.Charges(0.01, 0.002));
+                new Settings.Rules(0.3, 6, 3, 2, 10), new Settings.Charges(0.01, probe));
     }
 
     /** Plays each policy's day for each seed, one after the other. */
@@ -101,7 +101,8 @@
         Day its = day(seed);
         World[] world = {null};
         if (policy.equals(MODULE)) {
-            world[0] = new World(its, p -> new Module(its.settings(), seed * 1000 + p));
+            world[0] = new World(its, p -> new Module(its.settings().at(p % its.settings().locations()),
+                    seed * 1000 + p));
         } else {
             Baseline.Kind kind = Baseline.Kind.valueOf(policy.toUpperCase(Locale.ROOT));
             world[0] = new World(its, 3, p -> new Baseline(kind, its.settings(), seed * 1000 + p,
--- a/src/main/java/lemondrift/lab/ExperimentFile.java
+++ b/src/main/java/lemondrift/lab/ExperimentFile.java
@@ -16,6 +16,7 @@
 import java.util.stream.Stream;
 import lemondrift.lab.world.Day;
 import lemondrift.lab.world.Trouble;
+import lemondrift.model.Settings;
 import lemondrift.settings.BadInput;
 
 /** Reads an experiment. What can't be used is one line with file, line and key. */
@@ -23,7 +24,7 @@
     private static final List<String> KEYS = List.of("about", "policies", "seeds", "expect", "world",
             "trouble");
     private static final List<String> WORLD = List.of("proxies", "backends", "cores", "load", "work",
-            "spread", "tries", "way", "delay", "grace", "lasts");
+            "spread", "tries", "way", "delay", "grace", "lasts", "locations", "probe");
     private static final List<String> TROUBLE = List.of("kind", "at", "lasts", "share", "strength");
     private static final Pattern TIME = Pattern.compile("(\\d+(?:\\.\\d+)?)(ms|s)");
     private static final Pattern SHARE = Pattern.compile("(\\d+(?:\\.\\d+)?)%");
@@ -122,13 +123,15 @@
     private Day day(JsonNode world, List<Trouble> troubles) {
         int proxies = whole(world, "proxies", 3, 1, 500), backends = whole(world, "backends", 10, 0, 2000);
         int cores = whole(world, "cores", 2, 1, 64);
+        Settings settings = Experiment.settings(proxies, whole(world, "locations", 2, 1, 64),
+                number(world, "probe", 0.002, 0, 1));
         double work = time(world, "work", 0.05);
         double load = number(world, "load", 0.65, 0.01, 10);
         double rate = load * Math.max(1, backends) * cores / work;
         if (!(work > 0)) {
             throw bad("work", "must be over 0");
         }
-        return new Day(Experiment.settings(proxies), proxies, backends, cores, rate, work,
+        return new Day(settings, proxies, backends, cores, rate, work,
                 number(world, "spread", 0.5, 0, 3), whole(world, "tries", 3, 1, 20),
                 time(world, "way", 0.0005), time(world, "delay", 0.4), time(world, "grace", 2),
                 time(world, "lasts", 20), 1, troubles);
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -23,6 +23,11 @@
         return live().mapToDouble(ServiceGrade::contractTime).min().orElse(1);
     }
 
+    /** What a probe costs, as a share of an exchange; infinite where none is allowed. */
+    public double probeCharge() {
+        return limits.probes ? charges.probe : Double.POSITIVE_INFINITY;
+    }
+
     public DoubleStream benefits() {
         return live().mapToDouble(ServiceGrade::benefit);
     }
@@ -38,6 +43,12 @@
                 to.excessBenefit, to.marksRetries, reports, to.limits, to.rules, to.charges, sizes);
     }
 
+    /** The same for a proxy that stands in another location. */
+    public Settings at(int place) {
+        return new Settings(balancers, locations, place, listOnRequest, grades, tenantQuota, excessBenefit,
+                marksRetries, reports, limits, rules, charges, sizes);
+    }
+
     /** The same where each proxy is so many processes, with the work and the budgets of one together. */
     public Settings sharedBy(int processes) {
         return new Settings(balancers * processes, locations, location, listOnRequest, grades, tenantQuota,
--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -56,6 +56,17 @@
         assertTrue(large > 160 && large < 240, large + " of 400 went to one of half the fleet's size");
     }
 
+    @Test
+    void aReportCountsUntilTheNextWhereNoneCanBeAskedFor() {
+        World w = new World(World.settings(100, false, World.ANSWERS, false), 7);
+        w.list(true, false, World.lines(2));
+        List<Forward> both = List.of(w.arrive(PURE), w.arrive(PURE));
+        w.now += 0.1;
+        both.forEach(f -> w.end(f, Outcome.DELIVERED, f.backend == 0 ? 1 : 0.1, f.backend == 0 ? 3 : 0));
+        w.now += 1;
+        assertEquals(1, w.arrive(PURE).backend, "a window later: near and known busy, or across and known idle");
+    }
+
     @Test
     void whoFailsFastIsLeftAfterOneErrorAndUsedAgainOnceSound() {
         World w = old(8);
