Proxies tell one another what they have out, each only of the backends that the other uses

Change: the part is by lots (rendezvous hashing of proxy number and backend's tag, peer.Shares), so that each knows who uses a backend; a telling goes only to those, when what concerns them has changed. The module takes the lot with the list's line (Listed), comes back to its part with each list and every eight windows (Fleet.home), and goes on to the next four only. The lab's world carries messages, late and lost.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,10 +5,9 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    /** The shares of its contract time that an exchange of no and of most benefit may wait, not work. */
-    private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65;
-    /** How many exchanges' work may be waited for, times the share: a longer queue turns backends slow. */
-    private static final double CROWD = 3;
+    /** The shares of its contract time that one of no and of most benefit may wait, not work, and of how many
+     * exchanges' work where reports are old: a longer queue turns backends slow. */
+    private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65, CROWD = 3;
 
     private final Selection selection;
     private final Estimate estimate;
@@ -22,7 +21,7 @@
         this.selection = selection;
         quota = fleet.stated.tenantQuota();
         used = new Faded[quota.length];
-        Arrays.setAll(used, tenant -> new Faded(estimate.memory));
+        Arrays.setAll(used, tenant -> new Faded());
     }
 
     @Override
@@ -32,6 +31,7 @@
         }
         double rank = rank(x);
         if (x.tenant < quota.length) {
+            used[x.tenant].span = estimate.memory;
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
             double share = quota[x.tenant] / fleet.stated.balancers();
             rank *= used[x.tenant].at(now) > share ? fleet.stated.excessBenefit() : 1;
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -78,6 +78,11 @@
         estimate.others[backend] = exchanges;
     }
 
+    /** Of how many backends others are to tell; of none where reports can be asked for, which say more. */
+    public int part() {
+        return estimate.rounds() > 0 ? 0 : Estimate.PART;
+    }
+
     public void othersHeard(boolean any) {
         estimate.othersHeard = any;
     }
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -2,20 +2,17 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import lemondrift.model.*;
 
 /** Rules 3 and 4 and health: which backends may take an exchange now. */
 final class Eligibility extends Stage {
-    /** A sound backend's share of bad outcomes is taken to be no less than this. */
-    private static final double SOUND = 0.05;
+    /** The least share of bad outcomes that any sound one may have, the most of the ready to suspend. */
+    private static final double SOUND = 0.05, MOST_SUSPENDED = 0.5;
     /** The sequential test suspends when a sick backend explains the outcomes this many times better. */
     private static final double SUSPEND_AT = Math.log(1000);
-    /** The windows of use that count against a backend as good as suspended. */
-    private static final double SUSPICION = 2;
-    /** A suspension doubles with each trial that fails, to this many windows. */
-    private static final double LONGEST = 8;
-    /** At most this share of the ready backends is suspended; beyond it the fault is more likely shared. */
-    private static final double MOST_SUSPENDED = 0.5;
+    /** Windows: of use that count against one as good as suspended, and to which a suspension doubles. */
+    private static final double SUSPICION = 2, LONGEST = 8;
     /** A probe's work as a share of an exchange's, where a cold backend's allowance counts it. */
     static final double PROBE_WORK = 0.01;
 
@@ -41,11 +38,8 @@
         stated(List.of());
         drainedAt = Arrays.copyOf(drainedAt, fleet.size);
         judgedAt = Arrays.copyOf(judgedAt, fleet.size);
-        for (int i = 0; i < fleet.size; i++) {
-            if (fleet.started[i] >= fleet.startSeen[i]) {
-                startAfresh(i, now);
-            }
-        }
+        IntStream.range(0, fleet.size).filter(i -> fleet.started[i] >= fleet.startSeen[i])
+                .forEach(i -> startAfresh(i, now));
     }
 
     void stated(List<Integer> fresh) {
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -7,8 +7,8 @@
 final class Estimate {
     /** Windows of memory, of the wait met lately, and over which reports fade; what asking may cost. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125, MOST_COST = 0.03;
-    /** How many are asked for reports at a time and how often, where probes are cheap. */
-    static final int ASKED = 3, ROUNDS = 4;
+    /** How many are asked for reports at a time and how often, where probes are cheap; the least part. */
+    static final int ASKED = 3, ROUNDS = 4, PART = ASKED * ROUNDS;
     /** Floor and cap of a service time to the usual, a quick answer's least step, outcomes to be sure by. */
     private static final double SPREAD = 2, STEP = 0.02, FEW = 8;
 
@@ -20,8 +20,8 @@
     /** How long a report is told again, the fleet's service time as told, when a wait was first asked for. */
     private double period, told, born, allOut;
     /** Own exchanges a second, the mean wait met, and the reports heard lately and their number. */
-    final Faded ownRate = new Faded(1), metWait = new Faded(1);
-    private final Faded heard = new Faded(1), heards = new Faded(1);
+    final Faded ownRate = new Faded(), metWait = new Faded();
+    private final Faded heard = new Faded(), heards = new Faded();
 
     private double[] report = {}, reportedAt = {}, sends = {}, rated = {}, use = {}, held = {};
     /** Where other proxies tell what they have out: that. */
@@ -122,7 +122,7 @@
     /** The utilisation that one exchange adds if the others send alike, no more than a whole window's. */
     double worth(int i, double now) {
         double usual = told > 0 ? told : quick;
-        double share = rated[i] > 0 ? rated[i] / usual : fleet.meanPower / fleet.power[i];
+        double share = rated[i] > 0 ? rated[i] / usual : fleet.meanPower / fleet.line[i].size();
         return Math.min(1, quick * fleet.stated.balancers() / window)
                 * Math.max(1 / SPREAD, Math.min(SPREAD, share)) / fleet.coldShare(i, now);
     }
--- a/src/main/java/lemondrift/decide/Faded.java
+++ b/src/main/java/lemondrift/decide/Faded.java
@@ -2,13 +2,9 @@
 
 /** A sum that fades away over a span of time. */
 final class Faded {
-    double span;
+    double span = 1;
     private double sum, at;
 
-    Faded(double span) {
-        this.span = span;
-    }
-
     double at(double now) {
         return sum == 0 ? 0 : sum * Math.exp((at - now) / span);
     }
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -11,10 +11,12 @@
     Settings stated;
     private final Chance chance;
     int size;
+    /** What was last told of each, whether it may be used, and what this proxy has out there. */
+    Listed[] line = {};
     boolean[] ready = {};
-    int[] location = {}, cell = {}, out = {};
+    int[] out = {};
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
-    double[] started = {}, startSeen = {}, power = {};
+    double[] started = {}, startSeen = {};
     double meanPower = 1;
     /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
     int[] order = {};
@@ -29,28 +31,29 @@
         Arrays.fill(ready, 0, whole ? size : 0, false);
         size = Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1);
         ready = Arrays.copyOf(ready, size);
-        location = Arrays.copyOf(location, size);
-        cell = Arrays.copyOf(cell, size);
-        power = Arrays.copyOf(power, size);
+        line = Arrays.copyOf(line, size);
         started = Arrays.copyOf(started, size);
         startSeen = Arrays.copyOf(startSeen, size);
         out = Arrays.copyOf(out, size);
-        for (Listed line : lines) {
-            int i = line.backend();
-            ready[i] = line.state() == Listed.State.READY;
-            location[i] = line.location();
-            cell[i] = line.cell();
-            power[i] = stated.sizes() ? line.size() : 1;
-            started[i] = Math.max(line.fresh() ? 0 : started[i], line.started());
-            startSeen[i] = line.fresh() ? 0 : startSeen[i];
+        for (Listed told : lines) {
+            int i = told.backend();
+            line[i] = told.sized(stated.sizes());
+            ready[i] = told.state() == Listed.State.READY;
+            started[i] = Math.max(told.fresh() ? 0 : started[i], told.started());
+            startSeen[i] = told.fresh() ? 0 : startSeen[i];
         }
         int kept = (int) Arrays.stream(order).filter(i -> ready[i]).count();
         order = IntStream.concat(Arrays.stream(order), IntStream.range(0, size)).filter(i -> ready[i])
                 .distinct().toArray();
-        meanPower = Arrays.stream(order).mapToDouble(i -> power[i]).average().orElse(1);
-        for (int j = kept; j < order.length; j++) {
-            swap(j, (int) (chance.next() * (j + 1)));
-        }
+        meanPower = Arrays.stream(order).mapToDouble(i -> line[i].size()).average().orElse(1);
+        IntStream.range(kept, order.length).forEach(j -> swap(j, (int) (chance.next() * (j + 1))));
+        home();
+    }
+
+    /** Puts first whom this proxy has drawn lots to use. Danger: others tell of those, and of no more. */
+    void home() {
+        order = IntStream.of(order).boxed().sorted((a, b) -> Double.compare(line[a].lot(), line[b].lot()))
+                .mapToInt(i -> i).toArray();
     }
 
     void swap(int a, int b) {
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -46,8 +46,9 @@
         // Danger: receipts are forgotten after a while, counted from the first send that may have run.
         return grade.effect() == Effect.PURE || grade.effect() == Effect.RECEIPTED
                 && now - ran.sent < grade.receiptMemory() && (grade.group() == Group.ALL
-                || fleet.location[ran.backend] == fleet.location[i]
-                && (grade.group() == Group.LOCATION || fleet.cell[ran.backend] == fleet.cell[i]));
+                || fleet.line[ran.backend].location() == fleet.line[i].location()
+                && (grade.group() == Group.LOCATION
+                || fleet.line[ran.backend].cell() == fleet.line[i].cell()));
     }
 
     @Override
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -7,10 +7,9 @@
 
 /** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
-    /** The share that a utilisation higher by one makes late; an old tie's width. */
-    private static final double HARM = 0.5, TIE = 0.125;
-    /** A report trusted this much is fresh; an answer is awaited for this share of the window. */
-    private static final double FRESH = 0.6, PATIENCE = 1.0 / 32;
+    /** The share that a utilisation higher by one makes late, an old tie's width, how much a fresh report is
+     * trusted, and for which share of the window an answer is awaited. */
+    private static final double HARM = 0.5, TIE = 0.125, FRESH = 0.6, PATIENCE = 1.0 / 32;
 
     private final Fleet fleet;
     private final Estimate estimate;
@@ -33,18 +32,21 @@
         figure = Arrays.copyOf(figure, fleet.size);
     }
 
-    /** How many backends this proxy hears from often enough to know them; all of them in a small fleet. */
+    /** How many it uses: where others tell as many as they count on, else those that it hears from often. */
     private int part(double now) {
-        double heard = estimate.ownRate.at(now) * estimate.memory;
-        return (int) Math.min(fleet.order.length, Math.max(Estimate.ROUNDS * Estimate.ASKED, heard));
+        double heard = estimate.othersHeard ? 0 : estimate.ownRate.at(now) * estimate.memory;
+        return (int) Math.min(fleet.order.length, Math.max(Estimate.PART, heard));
     }
 
     /** Exchanges one of the part from time to time, and at once whoever can't be used. */
     private void renew(Exchange x, double now) {
-        int part = part(now), rest = fleet.order.length - part, leaving = -1;
+        int part = part(now), leaving = -1;
+        // Danger: others tell of few beyond the part, and who takes any of the rest sends there blindly.
+        int rest = Math.min(fleet.order.length - part, estimate.othersHeard ? part / 3 : fleet.size);
         if (now >= swapAt) {
             swapAt = now + chance.jitter(estimate.memory);
-            leaving = (int) (chance.next() * part);
+            leaving = estimate.othersHeard ? -1 : (int) (chance.next() * part);
+            fleet.home();
         }
         for (int j = 0; j < part && rest > 0; j++) {
             if (j == leaving || !mayTake(x, fleet.order[j], now)) {
@@ -68,7 +70,7 @@
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
             figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
-                    + (fleet.location[i] == fleet.stated.location() ? 0 : cross)
+                    + (fleet.line[i].location() == fleet.stated.location() ? 0 : cross)
                     + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now)) * (eligibility
                     .suspicion(i, now) - TIE * Math.log(1 - chance.next()) * estimate.worth(i, now)));
             for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -21,9 +21,10 @@
  * @param policies who decides, the module first
  * @param seeds each policy plays one day for each
  * @param expects what must hold of the module's every day
+ * @param tells whether the module's proxies tell one another what they have out
  */
 public record Experiment(String name, String about, Day day, List<String> policies, List<Long> seeds,
-        List<Expectation> expects) {
+        List<Expectation> expects, boolean tells) {
     /** The module's name among the policies. */
     public static final String MODULE = "module";
 
@@ -102,7 +103,7 @@
         World[] world = {null};
         if (policy.equals(MODULE)) {
             world[0] = new World(its, p -> new Module(its.settings().at(p % its.settings().locations()),
-                    seed * 1000 + p));
+                    seed * 1000 + p, p, tells));
         } else {
             Baseline.Kind kind = Baseline.Kind.valueOf(policy.toUpperCase(Locale.ROOT));
             world[0] = new World(its, 3, p -> new Baseline(kind, its.settings(), seed * 1000 + p,
--- a/src/main/java/lemondrift/lab/ExperimentFile.java
+++ b/src/main/java/lemondrift/lab/ExperimentFile.java
@@ -24,7 +24,8 @@
     private static final List<String> KEYS = List.of("about", "policies", "seeds", "expect", "world",
             "trouble");
     private static final List<String> WORLD = List.of("proxies", "backends", "cores", "load", "work",
-            "spread", "tries", "way", "delay", "grace", "lasts", "locations", "probe");
+            "spread", "tries", "way", "delay", "grace", "lasts", "locations", "probe",
+            "tells");
     private static final List<String> TROUBLE = List.of("kind", "at", "lasts", "share", "strength");
     private static final Pattern TIME = Pattern.compile("(\\d+(?:\\.\\d+)?)(ms|s)");
     private static final Pattern SHARE = Pattern.compile("(\\d+(?:\\.\\d+)?)%");
@@ -117,7 +118,7 @@
         known(world, WORLD);
         return new Experiment(file.getFileName().toString().replaceFirst("\\.toml$", ""),
                 all.path("about").asText(), day(world, troubles), policies,
-                seeds.isEmpty() ? List.of(1L) : seeds, expects);
+                seeds.isEmpty() ? List.of(1L) : seeds, expects, whether(world, "tells"));
     }
 
     private Day day(JsonNode world, List<Trouble> troubles) {
@@ -162,6 +163,14 @@
         return new Experiment.Expectation(parts.group(1), parts.group(2), Double.parseDouble(parts.group(3)));
     }
 
+    private boolean whether(JsonNode table, String key) {
+        JsonNode value = table.path(key);
+        if (!value.isMissingNode() && !value.isBoolean()) {
+            throw bad(key, "neither true nor false: " + value);
+        }
+        return value.asBoolean();
+    }
+
     private int whole(JsonNode table, String key, int usual, int least, int most) {
         JsonNode value = table.path(key);
         if (!value.isMissingNode() && !value.isIntegralNumber()) {
--- a/src/main/java/lemondrift/lab/world/Decider.java
+++ b/src/main/java/lemondrift/lab/world/Decider.java
@@ -6,6 +6,7 @@
 import lemondrift.model.Listed;
 import lemondrift.model.Outcome;
 import lemondrift.model.Turn;
+import lemondrift.peer.Holdings;
 
 /** One instance's decisions, as the decision module's entry has them; baselines stand in its place. */
 public interface Decider {
@@ -20,4 +21,17 @@
     Turn listed(double now, boolean whole, List<Listed> lines);
 
     Turn woken(double now);
+
+    /** What it has to tell other proxies now. */
+    default List<Holdings.Telling> tellings(double now) {
+        return List.of();
+    }
+
+    /** When it next has something to tell. */
+    default double tellAt() {
+        return Double.POSITIVE_INFINITY;
+    }
+
+    /** What another proxy has told. */
+    default void told(double now, int from, byte[] datagram) {}
 }
--- a/src/main/java/lemondrift/lab/world/Figures.java
+++ b/src/main/java/lemondrift/lab/world/Figures.java
@@ -10,6 +10,8 @@
     public double wanted, served;
     /** Exchanges that proxies took, and how they ended; forwards made, probes sent. */
     public long taken, delivered, late, shed, scrapped, unanswered, forwards, probes;
+    /** Bytes that proxies told one another. */
+    public long told;
     /** Cold backends that were pushed over and stayed down. */
     public long fallen;
 
@@ -54,7 +56,7 @@
     @Override
     public String toString() {
         return String.format("service %.4f, taken %d, delivered %d, late %d, shed %d, scrapped %d, "
-                + "unanswered %d, forwards %d, probes %d, fallen %d", service(), taken, delivered, late, shed,
-                scrapped, unanswered, forwards, probes, fallen);
+                + "unanswered %d, forwards %d, probes %d, fallen %d, told %d", service(), taken, delivered, late,
+                shed, scrapped, unanswered, forwards, probes, fallen, told);
     }
 }
--- a/src/main/java/lemondrift/lab/world/World.java
+++ b/src/main/java/lemondrift/lab/world/World.java
@@ -13,6 +13,7 @@
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
+import lemondrift.peer.Holdings;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
@@ -21,6 +22,8 @@
 public final class World {
     /** A client asks again after this share of the contract time where it is told nothing else. */
     private static final double WAIT = 0.5;
+    /** How long a message from one proxy to another takes on average, and how many of them are lost. */
+    private static final double MESSAGE = 0.01, LOST = 0.01;
 
     /** What a client wants: it asks until it has it, or has asked often enough. */
     private static final class Want {
@@ -200,7 +203,7 @@
         List<Forward> cancels = List.copyOf(turn.cancels), sends = List.copyOf(turn.sends);
         List<Turn.Answer> answers = List.copyOf(turn.answers);
         List<Integer> probes = List.copyOf(turn.probes);
-        double wakeAt = turn.wakeAt;
+        double wakeAt = Math.min(turn.wakeAt, tell(proxy));
         if (wakes[proxy] != null) {
             wakes[proxy].strike();
         }
@@ -212,6 +215,18 @@
         probes.forEach(i -> probe(proxy, i));
     }
 
+    /** Messages between proxies take their time and some are lost; says when there is more to tell. */
+    private double tell(int proxy) {
+        for (Holdings.Telling each : proxies[proxy].tellings(agenda.now())) {
+            figures.told += each.datagram().length;
+            if (chance.nextDouble() >= LOST) {
+                agenda.in(MESSAGE * (0.5 + chance.nextDouble()),
+                        () -> proxies[each.to()].told(agenda.now(), proxy, each.datagram()));
+            }
+        }
+        return proxies[proxy].tellAt();
+    }
+
     private void send(int proxy, Forward f) {
         double spread = day.spread();
         double work = day.work() * heavy * Math.exp(spread * bell.sample() - spread * spread / 2);
--- a/src/main/java/lemondrift/model/Listed.java
+++ b/src/main/java/lemondrift/model/Listed.java
@@ -2,19 +2,36 @@
 
 /**
  * One backend of a list; started is 0 where it started long ago or is not told. It is fresh where the index
- * has not stood for it so far, and nothing known of the index holds.
+ * has not stood for it so far, and nothing known of the index holds. The lot is what this proxy has drawn
+ * for it, where others know of that.
  */
 public record Listed(int backend, boolean fresh, int location, int cell, State state, double started,
-        double size) {
+        double size, double lot) {
     /** Danger: a size that is no positive number would make service times none. */
     public Listed {
         size = size > 0 && size < Double.POSITIVE_INFINITY ? size : 1;
     }
 
+    /** One for which no lot was drawn. */
+    public Listed(int backend, boolean fresh, int location, int cell, State state, double started,
+            double size) {
+        this(backend, fresh, location, cell, state, started, size, 0);
+    }
+
     /** One whose size is not told. */
     public Listed(int backend, boolean fresh, int location, int cell, State state, double started) {
         this(backend, fresh, location, cell, state, started, 1);
     }
 
+    /** The same, its size counting only where sizes hold. */
+    public Listed sized(boolean hold) {
+        return hold ? this : new Listed(backend, fresh, location, cell, state, started, 1, lot);
+    }
+
+    /** The same with a lot. */
+    public Listed drawn(double lot) {
+        return new Listed(backend, fresh, location, cell, state, started, size, lot);
+    }
+
     public enum State { READY, DRAINING, GONE }
 }
--- a/src/main/java/lemondrift/peer/Holdings.java
+++ b/src/main/java/lemondrift/peer/Holdings.java
@@ -1,48 +1,60 @@
 package lemondrift.peer;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.IntConsumer;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 
 /**
- * What the proxies of one bank have out, told in datagrams: each tells the backends of all its exchanges that
- * are out, whenever that has changed, at a pace. A telling says how things stand, not what happened, so that
- * one which is lost or comes twice does no harm. Backends go by a tag of their id. Times are in seconds.
+ * What the proxies of one bank have out, told in datagrams: each tells another the backends of its exchanges
+ * that are out, as far as the other uses them (Shares), whenever that has changed, at a pace. So what a proxy
+ * tells does not grow with their number. A telling says how things stand, not what happened, so that one
+ * which is lost or comes twice does no harm. Backends go by a tag of their id. Times are in seconds.
  */
 public final class Holdings {
     public static final int MOST_BYTES = 256;
-    private static final byte KIND = 1;
-    private static final int HEAD = 5, TAG_BYTES = 3, TAG_BITS = 24;
+    private static final byte KIND = 2;
+    private static final int HEAD = 3, TAG_BYTES = 3, TAG_BITS = 24, MOST = (MOST_BYTES - HEAD) / TAG_BYTES;
     /** An unchanged telling is told again after this share of the span after which one is forgotten. */
-    private static final double AGAIN = 0.25;
+    private static final double AGAIN = 0.4;
+    /** Another is there until it has been silent for so many times that span. */
+    private static final double THERE = 8;
 
-    /** One other proxy as last told. */
+    /** What goes to one other proxy. */
+    public record Telling(int to, byte[] datagram) {}
+
+    /** One other proxy as last told, and what it was told last. */
     private static final class Peer {
-        private int number;
+        private short number, told;
         private int[] tags = {};
-        private double toldAt = Double.NEGATIVE_INFINITY;
+        private double heardAt = Double.NEGATIVE_INFINITY, toldAt = Double.NEGATIVE_INFINITY;
+        private boolean dirty, knows;
     }
 
     private final Peer[] peers;
+    private final int self;
     private final double pace, forget;
     private final IntConsumer changed;
+    private final Shares shares;
     private final Map<Integer, Integer> others = new HashMap<>(), own = new HashMap<>();
-    private int number;
-    private boolean dirty;
-    private double toldAt = Double.NEGATIVE_INFINITY;
 
     /**
-     * The number of others, the least seconds between two tellings, the seconds after which one who is silent
-     * is forgotten, and who hears of each tag of which the number out at the others has changed.
+     * The number of proxies and which of them this one is, the least seconds between two tellings to one, the
+     * seconds after which what one has told is forgotten, who uses which backends, and who hears of each
+     * tag of which the number out at the others has changed.
      */
-    public Holdings(int peers, double pace, double forget, IntConsumer changed) {
-        this.peers = new Peer[peers];
-        Arrays.setAll(this.peers, i -> new Peer());
+    public Holdings(int proxies, int self, double pace, double forget, Shares shares, IntConsumer changed) {
+        peers = new Peer[proxies];
+        Arrays.setAll(peers, i -> new Peer());
+        this.self = self;
         this.pace = pace;
         this.forget = forget;
+        this.shares = shares;
         this.changed = changed;
     }
 
@@ -54,12 +66,18 @@
 
     public void sent(int tag) {
         own.merge(tag, 1, Integer::sum);
-        dirty = true;
+        changes(tag);
     }
 
     public void ended(int tag) {
         own.computeIfPresent(tag, (t, n) -> n > 1 ? n - 1 : null);
-        dirty = true;
+        changes(tag);
+    }
+
+    private void changes(int tag) {
+        for (int user : shares.users(tag)) {
+            peers[user].dirty |= user != self;
+        }
     }
 
     /** How many exchanges the others have out at a backend. */
@@ -67,13 +85,9 @@
         return others.getOrDefault(tag, 0);
     }
 
-    /** How many of the others have been heard lately. */
+    /** How many of the others are there, as far as has been heard. */
     public int heard(double now) {
-        int heard = 0;
-        for (Peer peer : peers) {
-            heard += now - peer.toldAt <= forget ? 1 : 0;
-        }
-        return heard;
+        return (int) Arrays.stream(peers).filter(peer -> now - peer.heardAt <= THERE * forget).count();
     }
 
     /**
@@ -81,28 +95,28 @@
      * counts from the beginning again; what can't be read or is older than what is held changes nothing.
      */
     public void told(int from, byte[] datagram, double now) {
-        Peer peer = from < 0 || from >= peers.length ? null : peers[from];
+        Peer peer = from < 0 || from >= peers.length || from == self ? null : peers[from];
         int length = datagram.length - HEAD;
         if (peer == null || length < 0 || length % TAG_BYTES != 0 || datagram[0] != KIND) {
             return;
         }
         ByteBuffer in = ByteBuffer.wrap(datagram, 1, datagram.length - 1);
-        int numbered = in.getInt();
-        if (numbered - peer.number <= 0 && now - peer.toldAt <= forget) {
+        short numbered = in.getShort();
+        if ((short) (numbered - peer.number) <= 0 && now - peer.heardAt <= forget) {
             return;
         }
         int[] before = peer.tags;
         peer.tags = new int[length / TAG_BYTES];
         Arrays.setAll(peer.tags, i -> (in.get() & 0xff) << 16 | (in.get() & 0xff) << 8 | in.get() & 0xff);
         peer.number = numbered;
-        peer.toldAt = now;
+        peer.heardAt = now;
         replace(before, peer.tags);
     }
 
     /** Danger: what a proxy had out that was killed would keep its backends looking busy for good. */
     public void forget(double now) {
         for (Peer peer : peers) {
-            if (peer.tags.length > 0 && now - peer.toldAt > forget) {
+            if (peer.tags.length > 0 && now - peer.heardAt > forget) {
                 int[] before = peer.tags;
                 peer.tags = new int[0];
                 replace(before, peer.tags);
@@ -117,26 +131,43 @@
         Arrays.stream(after).forEach(changed);
     }
 
-    /** When the next telling is due. */
+    /** When the next telling is due; infinite where nothing is to be told. */
     public double tellAt() {
-        return toldAt + (dirty ? pace : AGAIN * forget);
+        return Arrays.stream(peers).mapToDouble(this::tellAt).min().orElse(Double.POSITIVE_INFINITY);
     }
 
-    /** The telling that is due, which counts as told; null if none is. What does not fit is left out. */
-    public byte[] telling(double now) {
-        if (now < tellAt()) {
-            return null;
-        }
-        int most = (MOST_BYTES - HEAD) / TAG_BYTES;
-        int all = Math.min(most, own.values().stream().mapToInt(n -> n).sum());
-        ByteBuffer out = ByteBuffer.allocate(HEAD + all * TAG_BYTES).put(KIND).putInt(++number);
-        own.forEach((tag, n) -> {
-            for (int i = 0; i < n && out.hasRemaining(); i++) {
-                out.put((byte) (tag >> 16)).put((byte) (tag >> 8)).put((byte) (int) tag);
+    private double tellAt(Peer peer) {
+        return peer.dirty ? peer.toldAt + pace : peer.knows ? peer.toldAt + AGAIN * forget
+                : Double.POSITIVE_INFINITY;
+    }
+
+    /** The tellings that are due, which count as told. What does not fit is left out. */
+    public List<Telling> tellings(double now) {
+        List<Telling> due = new ArrayList<>();
+        for (int to = 0; to < peers.length; to++) {
+            if (tellAt(peers[to]) <= now) {
+                due.add(telling(to, now));
             }
-        });
-        dirty = false;
-        toldAt = now;
-        return out.array();
+        }
+        return due;
+    }
+
+    private Telling telling(int to, double now) {
+        int[] tags = own.entrySet().stream().filter(each -> uses(to, each.getKey()))
+                .flatMapToInt(each -> IntStream.generate(each::getKey).limit(each.getValue()))
+                .limit(MOST).toArray();
+        ByteBuffer out = ByteBuffer.allocate(HEAD + tags.length * TAG_BYTES);
+        out.put(KIND).putShort(++peers[to].told);
+        for (int tag : tags) {
+            out.put((byte) (tag >> 16)).put((byte) (tag >> 8)).put((byte) tag);
+        }
+        peers[to].dirty = false;
+        peers[to].knows = tags.length > 0;
+        peers[to].toldAt = now;
+        return new Telling(to, out.array());
+    }
+
+    private boolean uses(int proxy, int tag) {
+        return Arrays.stream(shares.users(tag)).anyMatch(user -> user == proxy);
     }
 }
--- /dev/null
+++ b/src/main/java/lemondrift/peer/Shares.java
@@ -0,0 +1,61 @@
+package lemondrift.peer;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.core.source64.SplitMix64;
+
+/**
+ * Which proxies of a bank use which backends. Each uses those of which its lots are the least (rendezvous
+ * hashing), and all draw the same lots, so that each knows the others' parts and none need tell of its own.
+ */
+public final class Shares {
+    /** A proxy is told of some beyond its part, to which it goes on where it can't use one of the part. */
+    private static final double SPARE = 4.0 / 3;
+
+    private final int proxies, width;
+    private int[] tags = {};
+    private Map<Integer, int[]> users = new HashMap<>();
+    private boolean dirty;
+
+    /** The number of proxies, and how many backends each uses. */
+    public Shares(int proxies, int part) {
+        this.proxies = proxies;
+        width = (int) Math.ceil(SPARE * part);
+    }
+
+    /** The lot of a proxy for the backend of a tag, the same wherever it is drawn; from 0 to 1. */
+    public static double lot(int proxy, int tag) {
+        return (new SplitMix64((long) proxy << Integer.SIZE | tag).nextLong() >>> 11) * 0x1p-53;
+    }
+
+    /** The tags of all backends that may be used. */
+    public void listed(int[] tags) {
+        dirty |= !Arrays.equals(this.tags, tags);
+        this.tags = tags;
+    }
+
+    /** The numbers of the proxies that use the backend of a tag; nobody uses one that is not listed. */
+    public int[] users(int tag) {
+        if (dirty) {
+            draw();
+        }
+        return users.getOrDefault(tag, new int[0]);
+    }
+
+    private void draw() {
+        dirty = false;
+        Map<Integer, IntStream.Builder> drawn = new HashMap<>();
+        for (int p = 0; p < proxies; p++) {
+            int proxy = p;
+            // The lots stand above the places in the list, so that sorting one array sorts both.
+            long[] lots = IntStream.range(0, tags.length)
+                    .mapToLong(i -> (long) (lot(proxy, tags[i]) * (1L << 40)) << 20 | i).sorted().toArray();
+            Arrays.stream(lots).limit(width).map(lot -> lot & (1 << 20) - 1)
+                    .forEach(i -> drawn.computeIfAbsent(tags[(int) i], t -> IntStream.builder()).add(proxy));
+        }
+        users = new HashMap<>();
+        drawn.forEach((tag, numbers) -> users.put(tag, numbers.build().toArray()));
+    }
+}
--- a/src/main/java/lemondrift/serve/Hands.java
+++ b/src/main/java/lemondrift/serve/Hands.java
@@ -4,6 +4,7 @@
 import lemondrift.model.Forward;
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
+import lemondrift.peer.Holdings;
 import lemondrift.settings.Grades;
 
 /** What the owner of the decisions has the sockets do; each returns at once. */
@@ -36,8 +37,8 @@
     /** These are stated from now on. */
     void retuned(Grades grades, Settings settings);
 
-    /** Tells the other proxies. */
-    void tell(byte[] datagram);
+    /** Tells another proxy. */
+    void tell(Holdings.Telling telling);
 
     /** All that was asked for since the last time is to be done now. */
     void act();
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -22,6 +22,7 @@
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
 import lemondrift.peer.Holdings;
+import lemondrift.peer.Shares;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
@@ -53,6 +54,8 @@
     private final Queue<Told> told = new ConcurrentLinkedQueue<>();
     /** Only the owner's thread uses these; the tags go by index. */
     private Holdings holdings;
+    private Shares shares;
+    private int self;
     private final Map<Integer, Integer> byTag = new HashMap<>();
     private int[] tags = {};
     private double wakeAt = Double.POSITIVE_INFINITY;
@@ -79,8 +82,10 @@
     }
 
     /** Tells the other proxies what is out here and hears it of them; before the start. */
-    void tells(int others, double pace, double forget) {
-        holdings = new Holdings(others, pace, forget, tag -> {
+    void tells(Peers.Place place, int part) {
+        self = place.self();
+        shares = new Shares(place.proxies().size(), part);
+        holdings = new Holdings(place.proxies().size(), self, place.pace(), place.forget(), shares, tag -> {
             Integer backend = byTag.get(tag);
             if (backend != null) {
                 balancer.othersHold(backend, holdings.others(tag));
@@ -128,15 +133,19 @@
         balancer.othersHeard(holdings.heard(clock.now()) > 0);
     }
 
-    private void tag(List<Listed> lines) {
+    /** Tags what is listed and draws this proxy's lots for it, as the others draw them. */
+    private List<Listed> drawn(List<Listed> lines) {
         for (Listed line : lines) {
-            int backend = line.backend(), tag = Holdings.tag(directory.id(backend));
+            int backend = line.backend();
             tags = Arrays.copyOf(tags, Math.max(tags.length, backend + 1));
             byTag.remove(tags[backend], backend);
-            tags[backend] = tag;
-            byTag.put(tag, backend);
-            balancer.othersHold(backend, holdings.others(tag));
+            tags[backend] = Holdings.tag(directory.id(backend));
+            if (line.state() == Listed.State.READY) {
+                byTag.put(tags[backend], backend);
+            }
         }
+        shares.listed(byTag.keySet().stream().mapToInt(tag -> tag).sorted().toArray());
+        return lines.stream().map(line -> line.drawn(Shares.lot(self, tags[line.backend()]))).toList();
     }
 
     void start() {
@@ -235,13 +244,15 @@
     void listed(JsonObject list, boolean stale) {
         put(null, () -> {
             boolean whole = list.get("complete").getAsBoolean();
-            List<Listed> lines = directory.listed(list, whole);
+            List<Listed> listed = directory.listed(list, whole);
+            List<Listed> lines = holdings == null ? listed : drawn(listed);
             if (shadow != null) {
                 watch(s -> s.listed(clock.now(), whole, stale, lines));
             }
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
             if (holdings != null) {
-                tag(lines);
+                lines.forEach(line -> balancer.othersHold(line.backend(),
+                        holdings.others(tags[line.backend()])));
             }
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
@@ -313,9 +324,8 @@
                     hands.decided(arrived, clock.now() - began);
                     arrived = 0;
                 }
-                byte[] telling = holdings == null ? null : holdings.telling(clock.now());
-                if (telling != null) {
-                    hands.tell(telling);
+                if (holdings != null) {
+                    holdings.tellings(clock.now()).forEach(hands::tell);
                 }
                 hands.act();
             } catch (InterruptedException e) {
--- a/src/main/java/lemondrift/serve/Peers.java
+++ b/src/main/java/lemondrift/serve/Peers.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lemondrift.peer.Holdings;
 import org.slf4j.Logger;
@@ -19,12 +22,16 @@
 final class Peers {
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
 
-    /** Where this proxy hears the others, the address of each and of all, and the file's two spans. */
-    record Place(InetSocketAddress listen, List<InetSocketAddress> others, InetSocketAddress all, double pace,
+    /**
+     * Where this proxy hears the others, the address of each by its number and its own number, and the
+     * file's two spans.
+     */
+    record Place(InetSocketAddress listen, List<InetSocketAddress> proxies, int self, double pace,
             double forget) {}
 
     private final Place place;
     private final Owner owner;
+    private final Map<SocketAddress, Integer> numbers = new HashMap<>();
     private final ByteBuffer buffer = ByteBuffer.allocate(Holdings.MOST_BYTES + 1);
     private final SocketAddressBuffer sender = new SocketAddressBuffer();
     private MulticastMessageChannel channel;
@@ -34,6 +41,9 @@
     Peers(Place place, Owner owner) {
         this.place = place;
         this.owner = owner;
+        for (int i = 0; i < place.proxies.size(); i++) {
+            numbers.put(place.proxies.get(i), i);
+        }
     }
 
     /** Danger: a proxy that can't hear the others can still serve. */
@@ -60,8 +70,8 @@
         try {
             for (int got = channel.receiveFrom(sender, buffer.clear()); got > 0;
                     got = channel.receiveFrom(sender, buffer.clear())) {
-                int from = place.others.indexOf(sender.getSourceAddress());
-                if (from >= 0 && got <= Holdings.MOST_BYTES) {
+                Integer from = numbers.get(sender.getSourceAddress());
+                if (from != null && got <= Holdings.MOST_BYTES) {
                     byte[] datagram = new byte[got];
                     buffer.flip().get(datagram);
                     owner.told(from, datagram);
@@ -72,12 +82,12 @@
         }
     }
 
-    void tell(byte[] datagram) {
+    void tell(Holdings.Telling telling) {
         if (channel == null) {
             return;
         }
         try {
-            channel.sendTo(place.all, ByteBuffer.wrap(datagram));
+            channel.sendTo(place.proxies.get(telling.to()), ByteBuffer.wrap(telling.datagram()));
         } catch (IOException | RuntimeException e) {
             warn(e);
         }
--- a/src/main/java/lemondrift/serve/PeersFile.java
+++ b/src/main/java/lemondrift/serve/PeersFile.java
@@ -15,7 +15,7 @@
 /** Reads what a deployment may say of telling other proxies; docs/peers.md has the keys. */
 final class PeersFile {
     /** The pace of tellings and when a silent one is forgotten, as shares of the shortest contract time. */
-    private static final double PACE = 0.06, FORGET = 1;
+    private static final double PACE = 0.02, FORGET = 2;
 
     private PeersFile() {}
 
@@ -41,18 +41,15 @@
         JsonObject settings = config.has("settings") ? config.getAsJsonObject("settings") : new JsonObject();
         boolean allowed = settings.has("limits") && settings.getAsJsonObject("limits").has("mayTell")
                 && settings.getAsJsonObject("limits").get("mayTell").getAsBoolean();
-        if (!allowed || !config.has("peer_listen") || !config.has("peers") || !config.has("peers_all")) {
+        if (!allowed || !config.has("peer_listen") || !config.has("peers") || !settings.has("slotNo")) {
             return null;
         }
-        List<InetSocketAddress> others = new ArrayList<>();
+        List<InetSocketAddress> proxies = new ArrayList<>();
         for (JsonElement each : config.getAsJsonArray("peers")) {
-            others.add(Config.address("peers", each.getAsString()));
+            proxies.add(Config.address("peers", each.getAsString()));
         }
-        int own = settings.has("slotNo") ? settings.get("slotNo").getAsInt() : -1;
-        if (own >= 0 && own < others.size()) {
-            others.remove(own);
-        }
-        return new Peers.Place(Config.address("peer_listen", config.get("peer_listen").getAsString()), others,
-                Config.address("peers_all", config.get("peers_all").getAsString()), pace, forget);
+        int self = settings.get("slotNo").getAsInt();
+        return self < 0 || self >= proxies.size() ? null : new Peers.Place(Config.address("peer_listen",
+                config.get("peer_listen").getAsString()), proxies, self, pace, forget);
     }
 }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -14,6 +14,7 @@
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.serve.admin.Operated;
+import lemondrift.peer.Holdings;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import lemondrift.tally.Tally;
@@ -80,8 +81,8 @@
         this.config = config;
         longestExpiry = config.longestExpiry();
         Grades grades = new Grades(config.gradeNames(), config.settings().grades());
-        owner = new Owner(new Balancer(config.settings(), config.seed()), new Directory(config.locations()),
-                clock, new Sockets(io), grades,
+        Balancer balancer = new Balancer(config.settings(), config.seed());
+        owner = new Owner(balancer, new Directory(config.locations()), clock, new Sockets(io), grades,
                 config.settings());
         if (config.shadow() != null && dial == null) {
             owner.watches(config.shadow(), config.seed());
@@ -91,9 +92,10 @@
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
                 tally);
         known = config.known();
-        peers = config.peers() == null || dial != null ? null : new Peers(config.peers(), owner);
+        peers = config.peers() == null || dial != null || balancer.part() == 0 ? null
+                : new Peers(config.peers(), owner);
         if (peers != null) {
-            owner.tells(config.peers().others().size(), config.peers().pace(), config.peers().forget());
+            owner.tells(config.peers(), balancer.part());
         }
     }
 
@@ -333,8 +335,8 @@
         }
 
         @Override
-        public void tell(byte[] datagram) {
-            wishes.add(() -> peers.tell(datagram));
+        public void tell(Holdings.Telling telling) {
+            wishes.add(() -> peers.tell(telling));
         }
 
         @Override
--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -64,7 +65,26 @@
         w.now += 0.1;
         both.forEach(f -> w.end(f, Outcome.DELIVERED, f.backend == 0 ? 1 : 0.1, f.backend == 0 ? 3 : 0));
         w.now += 1;
-        assertEquals(1, w.arrive(PURE).backend, "a window later: near and known busy, or across and known idle");
+        assertEquals(1, w.arrive(PURE).backend, "a window later: near and busy, or across and idle");
+    }
+
+    @Test
+    void whereOthersTellOnlyThoseDrawnByLotAreUsedAndTheyAgainAfterAList() {
+        World w = new World(World.settings(100, false, World.ANSWERS, false), 7);
+        assertEquals(12, w.balancer.part(), "where none is asked others are to tell");
+        assertEquals(0, World.of(2).balancer.part(), "where reports can be asked for nobody need tell");
+        List<Listed> lines = IntStream.range(0, 60).mapToObj(i -> World.line(i, Listed.State.READY, 0)
+                .drawn((i * 37 % 60) / 60.0)).toList();
+        w.list(true, false, lines);
+        w.balancer.othersHeard(true);
+        for (int round = 0; round < 3; round++) {
+            int[] hits = to(w, ONCE, 200, 0.1, i -> Outcome.DELIVERED);
+            int used = (int) Arrays.stream(hits).filter(n -> n > 0).count();
+            assertTrue(used >= 6 && used <= 16, used + " are used");
+            lines.stream().filter(line -> line.lot() * 60 > 15.5).forEach(line ->
+                    assertEquals(0, hits[line.backend()], "nobody tells this proxy of " + line));
+            w.list(true, false, lines);
+        }
     }
 
     @Test
--- a/src/test/java/lemondrift/peer/HoldingsTest.java
+++ b/src/test/java/lemondrift/peer/HoldingsTest.java
@@ -6,26 +6,32 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
 /** What proxies tell one another, beside a plain model, under loss, repeats, disorder and nonsense. */
 class HoldingsTest {
-    private static Holdings holdings(int peers) {
-        return new Holdings(peers, 0.01, 0.1, tag -> { });
+    private record Flying(int from, Holdings.Telling telling) {}
+
+    /** One of a few that all use all backends. */
+    private static Holdings holdings(int proxies, int self, int backends) {
+        Shares shares = new Shares(proxies, backends);
+        shares.listed(IntStream.range(0, backends).toArray());
+        return new Holdings(proxies, self, 0.01, 0.1, shares, tag -> { });
     }
 
-    /** A telling that is due now. */
+    /** The only telling that is due now. */
     private static byte[] telling(Holdings from, double now) {
-        byte[] telling = from.telling(now);
-        assertNotNull(telling, "due");
-        return telling;
+        List<Holdings.Telling> due = from.tellings(now);
+        assertEquals(1, due.size(), "due");
+        return due.get(0).datagram();
     }
 
     @Test
     void nonsenseLateAndRepeatedTellingsChangeNothing() {
-        Holdings a = holdings(1), b = holdings(1);
+        Holdings a = holdings(2, 0, 10), b = holdings(2, 1, 10);
         a.sent(7);
         byte[] old = telling(a, 1);
         a.sent(7);
@@ -34,10 +40,11 @@
         b.told(0, last, 1.03);
         b.told(0, last, 1.04);
         b.told(0, old, 1.04);
-        b.told(0, new byte[] {1, 2}, 1.04);
-        b.told(0, new byte[] {9, 0, 0, 0, 99, 0, 0, 7}, 1.04);
+        b.told(0, new byte[] {2, 2}, 1.04);
+        b.told(0, new byte[] {9, 0, 99, 0, 0, 7}, 1.04);
         b.told(0, Arrays.copyOf(last, last.length - 1), 1.04);
         b.told(5, last, 1.04);
+        b.told(1, last, 1.04);
         b.told(-1, last, 1.04);
         b.told(0, new byte[0], 1.04);
         assertEquals(2, b.others(7));
@@ -46,32 +53,52 @@
 
     @Test
     void whatAKilledProxyHadOutIsForgottenAndItsNewStartIsHeard() {
-        Holdings a = holdings(1), b = holdings(1);
+        Holdings a = holdings(2, 0, 10), b = holdings(2, 1, 10);
         for (int i = 0; i < 50; i++) {
             a.sent(7);
             b.told(0, telling(a, 1 + 0.02 * i), 1 + 0.02 * i);
         }
         b.forget(2.09);
         assertEquals(0, b.others(7));
-        assertEquals(0, b.heard(2.09));
-        Holdings restarted = holdings(1);
+        assertEquals(0, b.heard(2.9));
+        Holdings restarted = holdings(2, 0, 10);
         restarted.sent(8);
         b.told(0, telling(restarted, 3), 3);
         assertEquals(1, b.others(8));
-        assertEquals(1, b.heard(3));
+        assertEquals(1, b.heard(3.7));
     }
 
     @Test
     void aTellingStaysWithinItsBytesAndIsPaced() {
-        Holdings a = holdings(1);
+        Holdings a = holdings(2, 0, 1000);
         for (int i = 0; i < 1000; i++) {
             a.sent(i);
         }
         assertTrue(telling(a, 1).length <= Holdings.MOST_BYTES);
         a.sent(1);
-        assertNull(a.telling(1.005));
-        assertNotNull(a.telling(1.011));
-        assertNull(a.telling(1.02), "unchanged is told seldom");
+        assertEquals(List.of(), a.tellings(1.005));
+        telling(a, 1.011);
+        assertEquals(List.of(), a.tellings(1.02), "unchanged is told seldom");
+    }
+
+    @Test
+    void onlyThoseAreToldWhoUseTheBackendHoweverManyThereAre() {
+        for (int proxies : new int[] {20, 100, 300}) {
+            int backends = 2 * proxies, told = 0;
+            int[] tags = IntStream.range(0, backends).map(i -> Holdings.tag("s-" + i)).toArray();
+            Shares shares = new Shares(proxies, 12);
+            shares.listed(tags);
+            for (int tag : tags) {
+                Holdings one = new Holdings(proxies, 3, 0.01, 0.1, shares, t -> { });
+                one.sent(tag);
+                int[] to = one.tellings(1).stream().mapToInt(Holdings.Telling::to).toArray();
+                int[] use = IntStream.range(0, proxies).filter(p -> p != 3 && Arrays.stream(tags)
+                        .filter(other -> Shares.lot(p, other) < Shares.lot(p, tag)).count() < 16).toArray();
+                assertArrayEquals(use, to);
+                told += to.length;
+            }
+            assertTrue(told > 7 * backends && told <= 8 * backends, told + " told of " + backends);
+        }
     }
 
     @Property(tries = 200)
@@ -79,10 +106,9 @@
         Random random = new Random(seed);
         int proxies = 4, backends = 5;
         Holdings[] all = new Holdings[proxies];
-        Arrays.setAll(all, i -> holdings(proxies));
+        Arrays.setAll(all, i -> holdings(proxies, i, backends));
         int[][] model = new int[proxies][backends];
-        List<byte[]> flying = new ArrayList<>();
-        List<Integer> senders = new ArrayList<>();
+        List<Flying> flying = new ArrayList<>();
         double now = 1;
         for (int step = 0; step < 100; step++, now += 0.002) {
             int i = random.nextInt(proxies), b = random.nextInt(backends);
@@ -93,29 +119,20 @@
                 model[i][b]++;
                 all[i].sent(b);
             }
-            byte[] told = all[i].telling(now);
-            if (told != null) {
-                flying.add(told);
-                senders.add(i);
-            }
+            all[i].tellings(now).forEach(telling -> flying.add(new Flying(i, telling)));
             if (!flying.isEmpty() && random.nextInt(3) > 0) {
                 // Any that flies, perhaps again, perhaps never: lost, late, twice.
-                int at = random.nextInt(flying.size()), to = random.nextInt(proxies);
-                if (to != senders.get(at)) {
-                    all[to].told(senders.get(at), flying.get(at), now);
-                }
+                Flying any = flying.get(random.nextInt(flying.size()));
+                all[any.telling.to()].told(any.from, any.telling.datagram(), now);
             }
         }
-        now += 0.05;
+        double end = now + 0.05;
         for (int i = 0; i < proxies; i++) {
-            byte[] told = telling(all[i], now);
-            for (int j = 0; j < proxies; j++) {
-                if (j != i) {
-                    all[j].told(i, told, now);
-                }
-            }
+            int from = i;
+            all[i].tellings(end).forEach(each -> all[each.to()].told(from, each.datagram(), end));
         }
         for (int j = 0; j < proxies; j++) {
+            all[j].forget(end);
             for (int b = 0; b < backends; b++) {
                 int want = 0;
                 for (int i = 0; i < proxies; i++) {
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import lemondrift.decide.Balancer;
 import lemondrift.peer.Holdings;
+import lemondrift.peer.Shares;
 import lemondrift.model.*;
 import lemondrift.settings.Grades;
 import org.junit.jupiter.api.AfterEach;
@@ -64,19 +65,21 @@
 
     @Test
     void theOthersAreToldWhatIsOut() throws Exception {
-        owner.tells(1, 0, 1);
+        InetSocketAddress any = InetSocketAddress.createUnresolved("p", 1);
+        owner.tells(new Peers.Place(null, List.of(any, any), 1, 0, 1), 12);
         owner.start();
         list("active");
         Forward f = arrive(1);
-        Holdings other = new Holdings(1, 0, 1, tag -> { });
-        other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+        Shares shares = new Shares(2, 12);
+        Holdings other = new Holdings(2, 0, 0, 1, shares, tag -> { });
+        other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
         while (other.others(Holdings.tag("s-1")) == 0) {
-            other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+            other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
         }
         owner.told(0, new byte[] {1, 2, 3});
         owner.ended(f, Outcome.DELIVERED, 0.1, null, DELIVERED);
         while (other.others(Holdings.tag("s-1")) > 0) {
-            other.told(0, tellings.poll(5, TimeUnit.SECONDS), now);
+            other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
         }
         assertEquals("delivered 1", next());
     }
@@ -188,8 +191,8 @@
     }
 
     @Override
-    public void tell(byte[] datagram) {
-        tellings.add(datagram);
+    public void tell(Holdings.Telling telling) {
+        tellings.add(telling.datagram());
     }
 
     @Override
