--- a/src/main/java/lemondrift/lab/world/Figures.java
+++ b/src/main/java/lemondrift/lab/world/Figures.java
@@ -56,7 +56,7 @@
     @Override
     public String toString() {
         return String.format("service %.4f, taken %d, delivered %d, late %d, shed %d, scrapped %d, "
-                + "unanswered %d, forwards %d, probes %d, fallen %d, told %d", service(), taken, delivered, late,
-                shed, scrapped, unanswered, forwards, probes, fallen, told);
+                + "unanswered %d, forwards %d, probes %d, fallen %d, told %d", service(), taken, delivered,
+                late, shed, scrapped, unanswered, forwards, probes, fallen, told);
     }
 }
