The rehearsal waits for its last answers, so that no start logs forwards not begun

Symptom: up to a dozen stack traces a start, "forward not begun" with XNIO007007, "Thread is terminating". Cause: at the end of Rehearsal.play its clients go on asking (client()), while Proxy.close shuts the worker down; what the owner sends then finds no thread for its timer (Backends.begin). Ruled out: a forward of a real exchange (the real proxy has not begun then).

Change: once enough were played, or time is up, a client asks for nothing more; play waits half a second at the most until all have their last answers, and says whether they had.

--- a/src/main/java/lemondrift/serve/Rehearsal.java
+++ b/src/main/java/lemondrift/serve/Rehearsal.java
@@ -29,12 +29,14 @@
 final class Rehearsal {
     private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
     private static final int CLIENTS = 6, BACKENDS = 4, EXCHANGES = 400;
-    /** Seconds that it may take at the most. */
-    private static final double MOST = 1.5;
+    /** Seconds that it may take at the most, and that the last answers may. */
+    private static final double MOST = 1.5, LAST = 0.5;
 
     private final Config config;
     private final XnioWorker worker;
     private final CountDownLatch left = new CountDownLatch(EXCHANGES);
+    private final CountDownLatch quiet = new CountDownLatch(CLIENTS);
+    private volatile boolean over;
     private long sent, told;
 
     private Rehearsal(Config config, XnioWorker worker) {
@@ -42,7 +44,8 @@
         this.worker = worker;
     }
 
-    static void play(Config config) throws IOException, InterruptedException {
+    /** Says whether all that was asked had its answer. */
+    static boolean play(Config config) throws IOException, InterruptedException {
         XnioWorker worker = Proxy.worker();
         Rehearsal rehearsal = new Rehearsal(config, worker);
         Proxy proxy = new Proxy(config, worker, rehearsal::dial);
@@ -53,8 +56,12 @@
             }
         });
         rehearsal.left.await((long) (MOST * 1e3), TimeUnit.MILLISECONDS);
+        // Danger: forwards that are begun while the threads end would each leave a trace in the log.
+        rehearsal.over = true;
+        boolean quiet = rehearsal.quiet.await((long) (LAST * 1e3), TimeUnit.MILLISECONDS);
         proxy.close();
         LOG.info("rehearsed, {} exchanges", EXCHANGES - rehearsal.left.getCount());
+        return quiet;
     }
 
     private JsonObject list() {
@@ -100,6 +107,10 @@
             ChannelPipe<StreamConnection, StreamConnection> pipe = worker.createFullDuplexPipeConnection();
             talk(pipe.getLeftSide(), answer -> {
                 left.countDown();
+                if (over) {
+                    quiet.countDown();
+                    return null;
+                }
                 return request();
             });
             write(pipe.getLeftSide(), request());
@@ -118,7 +129,7 @@
                 + "\r\nX-Expires-In-Ms: 5000\r\n" + (pure ? "\r\n" : "Content-Length: 1\r\n\r\nx");
     }
 
-    /** Answers all that comes, a message at a time, as both sides send no more than one at once. */
+    /** Answers what comes, a message at a time, as both sides send no more than one at once; null is none. */
     private static void talk(StreamConnection connection, Function<String, String> script) {
         ByteBuffer buffer = ByteBuffer.allocate(4096);
         connection.getSourceChannel().setReadListener(source -> {
@@ -138,6 +149,9 @@
     }
 
     private static void write(StreamConnection connection, String text) throws IOException {
+        if (text == null) {
+            return;
+        }
         connection.getSinkChannel().write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
 }
--- /dev/null
+++ b/src/test/java/lemondrift/serve/RehearsalTest.java
@@ -0,0 +1,13 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import org.junit.jupiter.api.Test;
+
+/** The rehearsal before a start. */
+class RehearsalTest {
+    @Test
+    void nothingIsLeftInHandWhenItEnds() throws Exception {
+        assertTrue(Rehearsal.play(Config.read(new Loopback() { }.config(1, false))));
+    }
+}
