A head read of a connection that has gone no longer brings its index back at the door

Cause, from the code: Visitor.headRead and turnedAway were the only two that did not look whether the connection has gone; Door.headRead entered a free index as BODY.

Change: both look; the core ignores them for a free index. The test fails without the guard.

--- a/src/main/java/lemondrift/door/Door.java
+++ b/src/main/java/lemondrift/door/Door.java
@@ -185,6 +185,9 @@
     /** The head of a request was read; it may have come with the answer to the one before, in one piece. */
     public void headRead(int i, double now) {
         double t = time(now);
+        if (state[i] == State.FREE) {
+            return;
+        }
         if (state[i] == State.QUIET) {
             reuse[kind(i)].usedAfter(t - since[i], t);
         }
@@ -285,6 +288,9 @@
 
     /** A request is to be turned away; keeps is asked next, as with any answer. */
     public void turnedAway(int i, double now) {
+        if (state[i] == State.FREE) {
+            return;
+        }
         turnedAway[i]++;
         source[i].cost(time(now), bounds.memory());
     }
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -122,7 +122,10 @@
 
         void headRead() {
             benefit = -1;
-            door.headRead(index, clock.now());
+            // Danger: a head read before its connection was closed would bring the index back to life.
+            if (!gone) {
+                door.headRead(index, clock.now());
+            }
         }
 
         /** False where another exchange of this id is open. Its request need not have come whole. */
@@ -168,7 +171,9 @@
         }
 
         void turnedAway() {
-            door.turnedAway(index, clock.now());
+            if (!gone) {
+                door.turnedAway(index, clock.now());
+            }
         }
 
         /** For how many seconds it is not read, its request having been turned away. */
--- a/src/test/java/lemondrift/door/DoorTest.java
+++ b/src/test/java/lemondrift/door/DoorTest.java
@@ -430,4 +430,15 @@
         assertEquals(50, intake.size());
         assertFalse(intake.takes(), "none goes before those that wait");
     }
+
+    @Test
+    void whatIsReadOfAConnectionThatHasGoneBringsNothingBack() {
+        Street street = new Street(Street.bounds(8, Bounds.Sharing.CONNECTION));
+        int i = street.door.came(7, street.now);
+        street.door.gone(i, street.now);
+        street.door.headRead(i, street.now);
+        street.door.turnedAway(i, street.now);
+        // The street knows no client there, so that to close it would fail, and end all further sweeps.
+        assertDoesNotThrow(() -> street.door.sweep(street.now + 100));
+    }
 }
