Thin proxies no longer shed beside idle backends: no blind draws, work learnt at once

Symptom: after power loss half of the backends stood idle while a third was refused (stand, 60 processes, 40 backends). Change: where others tell what they have out at a backend, waits met elsewhere no longer count there; none beyond the told ones is drawn while one of them can take the exchange; least benefit waits a fifth of its time there instead of 0.4; what a cold one has not drained is counted in exchanges, at the present pace; the work is the mean of all answers from the first, less what coldness added.

--- a/src/main/java/lemondrift/cli/FleetCommand.java
+++ b/src/main/java/lemondrift/cli/FleetCommand.java
@@ -33,6 +33,9 @@
     @Option(names = "--json", paramLabel = "FILE", description = "all figures as JSON")
     Path json;
 
+    @Option(names = "--seconds", description = "what was served, second by second")
+    boolean seconds;
+
     @Option(names = "--quiet", description = "no line of progress")
     boolean quiet;
 
@@ -53,6 +56,8 @@
             runs.forEach(run -> out.println(FleetRun.row(run.policy(), String.valueOf(run.seed()),
                     run.figures(), proxies, experiment.day().lasts())));
             for (Experiment.Run run : runs) {
+                out.print(seconds ? run.policy() + ", seed " + run.seed() + "\n"
+                        + FleetRun.seconds(run.figures()) : "");
                 failed |= run.broken() != null || run.figures().crashed > 0;
                 out.print(run.broken() == null ? "" : run.broken() + "\n");
             }
--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -5,9 +5,9 @@
 
 /** Overload: sheds at once what can no longer be answered in time, the least benefit first. */
 final class Admission extends Stage {
-    /** The shares of its contract time that one of no and of most benefit may wait, not work, and of how many
-     * exchanges' work where reports are old: a longer queue turns backends slow. */
-    private static final double LEAST_SHARE = 0.4, MOST_SHARE = 0.65, CROWD = 3;
+    /** The shares of its contract time that one of no benefit, the same where waits are told, and one of most
+     * may wait, not work; and of how many exchanges' work where reports are old: longer queues slow all. */
+    private static final double LEAST_SHARE = 0.4, TOLD_SHARE = 0.2, MOST_SHARE = 0.65, CROWD = 3;
 
     private final Selection selection;
     private final Estimate estimate;
@@ -51,8 +51,9 @@
         return x.terms.grade().benefit() / fleet.stated.benefits().max().orElse(1);
     }
 
-    private static double share(double rank) {
-        return LEAST_SHARE + (MOST_SHARE - LEAST_SHARE) * Math.min(1, rank);
+    private double share(double rank) {
+        double least = estimate.othersHeard ? TOLD_SHARE : LEAST_SHARE;
+        return least + (MOST_SHARE - least) * Math.min(1, rank);
     }
 
     /** What it would shed of a grade now, without asking or drawing anybody; changes nothing. */
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -3,10 +3,8 @@
 import java.util.List;
 import lemondrift.model.*;
 
-/**
- * The decisions of one proxy. Tell it each thing that happens, in order, with the time in seconds, and carry
- * out the Turn it returns before the next call reuses it; call wake at or after Turn.wakeAt.
- */
+/** The decisions of one proxy. Tell it each thing that happens, in order, with the time in seconds, and carry
+ * out the Turn it returns before the next call reuses it; call wake at or after Turn.wakeAt. */
 public final class Balancer {
     private final Turn turn = new Turn();
     private final Fleet fleet;
@@ -50,7 +48,6 @@
     public Turn backendsListed(double now, boolean whole, boolean stale, List<Listed> lines) {
         fleet.listed(whole, lines);
         estimate.listed();
-        selection.listed();
         eligibility.listed(now);
         lists.listed(stale, now);
         return wake(now);
@@ -61,7 +58,7 @@
     }
 
     public Turn probeEnded(double now, int backend, Outcome outcome, double[] report) {
-        selection.askedAt[backend] = 0;
+        fleet.askedAt[backend] = 0;
         return turn(now, () -> estimate.reported(backend, report, outcome == Outcome.DELIVERED, false, now));
     }
 
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
-import java.util.stream.IntStream;
+import java.util.stream.*;
 import lemondrift.model.*;
 
 /** Rules 3 and 4 and health: which backends may take an exchange now. */
@@ -21,11 +21,12 @@
     private final Chance chance;
     private double usualBad = SOUND;
     /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
-    private double answerTime;
+    private double answerTime, answers = 1;
 
-    /** A test of all outcomes, then one for each grade's; 0 is not suspended; when a cold one has drained. */
+    /** A test of all outcomes, then one for each grade's; 0 is not suspended. */
     private double[][] score = {}, suspendedUntil = {};
-    private double[] drainedAt = {}, judgedAt = {};
+    /** Own exchanges that a cold one has not drained yet, and as of when. */
+    private double[] owed = {}, owedAt = {}, judgedAt = {};
 
     Eligibility(Fleet fleet, Estimate estimate, Chance chance) {
         this.fleet = fleet;
@@ -36,7 +37,8 @@
 
     void listed(double now) {
         stated(List.of());
-        drainedAt = Arrays.copyOf(drainedAt, fleet.size);
+        owed = Arrays.copyOf(owed, fleet.size);
+        owedAt = Arrays.copyOf(owedAt, fleet.size);
         judgedAt = Arrays.copyOf(judgedAt, fleet.size);
         IntStream.range(0, fleet.size).filter(i -> fleet.started[i] >= fleet.startSeen[i])
                 .forEach(i -> startAfresh(i, now));
@@ -58,29 +60,33 @@
     private void startAfresh(int i, double now) {
         fleet.startSeen[i] = Math.nextUp(fleet.started[i]);
         // Danger: one exchange from each of hundreds of proxies at once spends a start's budget many times.
-        double window = fleet.stated.rules().fallWindow();
-        drainedAt[i] = now + chance.next() * Math.max(0, drain(i, 1, now) - window);
-        Arrays.stream(score).forEach(test -> test[i] = 0);
-        Arrays.stream(suspendedUntil).forEach(test -> test[i] = 0);
+        owed[i] = chance.next() * Math.max(0, 1 - fleet.stated.rules().fallWindow() / drain(i, now));
+        owedAt[i] = now;
+        Stream.of(score, suspendedUntil).flatMap(Arrays::stream).forEach(test -> test[i] = 0);
         estimate.forget(i);
     }
 
     /** Rule 4: half of a window's budget may go out at once, the rest over it. Danger: a burst spends all. */
     private boolean hasRoom(int i, double now) {
-        return fleet.coldShare(i, now) == 1 || drainedAt[i] <= now
-                || drainedAt[i] + drain(i, 1, now) <= now + fleet.stated.rules().fallWindow();
+        return fleet.coldShare(i, now) == 1 || owed(i, now) == 0
+                || (owed[i] + 1) * drain(i, now) <= fleet.stated.rules().fallWindow();
     }
 
-    /** How long some exchanges' work takes to drain at half of this proxy's part of what a cold one bears. */
-    private double drain(int i, double many, double now) {
-        // Danger: the parts are known of those that are heard; whoever hears none may use any.
-        double users = fleet.stated.balancers() * (estimate.othersHeard ? fleet.line[i].used() : 1);
-        return answerTime * many * users * 2 / fleet.stated.rules().fallMultiple() / fleet.coldShare(i, now);
+    /** What has not drained. Danger: a pace kept from when less was known would hold all back for long. */
+    private double owed(int i, double now) {
+        owed[i] = Math.max(0, owed[i] - (now - owedAt[i]) / drain(i, owedAt[i]));
+        owedAt[i] = now;
+        return owed[i];
+    }
+
+    /** How long an exchange's work takes to drain at half of this proxy's part of what a cold one bears. */
+    private double drain(int i, double now) {
+        double users = fleet.stated.balancers() * (estimate.known(i) ? fleet.line[i].used() : 1);
+        return answerTime * users * 2 / fleet.stated.rules().fallMultiple() / fleet.coldShare(i, now);
     }
 
     void spend(int i, double exchanges, double now) {
-        drainedAt[i] = fleet.coldShare(i, now) == 1 ? drainedAt[i]
-                : Math.max(drainedAt[i], now) + drain(i, exchanges, now);
+        owed[i] = owed(i, now) + exchanges;
     }
 
     /** One whose suspension is over takes one exchange at a time, until that has ended well. */
@@ -95,18 +101,13 @@
         return until == 0 || until <= now && fleet.out[i] == 0;
     }
 
-    @Override
-    void offer(Exchange x, double now, Turn turn) {
-        super.offer(x, now, turn);
-        if (x.out > 0) {
-            spend(x.latest.backend, 1, now);
-        }
-    }
-
     @Override
     void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
+        estimate.ended(f, outcome, took, now);
         boolean good = outcome == Outcome.DELIVERED;
-        answerTime += good ? (took - answerTime) / 50 : 0;
+        // Danger: a proxy that has just started knows no answer, and would spare cold ones for a minute.
+        answerTime += good ? (took * fleet.coldShare(f.backend, now) - answerTime)
+                / Math.min(50, ++answers) : 0;
         if (outcome != Outcome.FULL && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
             usualBad = Math.max(SOUND, usualBad + ((good ? 0 : 1) - usualBad) / 100);
             judge(f.backend, 0, !good, now, turn);
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -106,6 +106,11 @@
         return Math.max(0, of(i, now) - 1) / worth(i, now) * workTime(i, now);
     }
 
+    /** Whether the others tell what they have out there. */
+    boolean known(int i) {
+        return othersHeard && fleet.line[i].used() > 0;
+    }
+
     /** The wait that own forwards meet now, by Little's law, where reports are old. */
     double ownWait(int i, double now) {
         born = born == 0 ? now : born;
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -11,10 +11,12 @@
     Settings stated;
     private final Chance chance;
     int size;
-    /** What was last told of each, whether it may be used, and what this proxy has out there. */
+    /** What was last told of each, whether it may be used, and what this proxy has out there; when a probe
+     * that is still out was sent, 0 if there is none, and the figure that each was last ranked by. */
     Listed[] line = {};
     boolean[] ready = {};
     int[] out = {};
+    double[] askedAt = {}, figure = {};
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
     double[] started = {}, startSeen = {};
     double meanPower = 1;
@@ -35,6 +37,8 @@
         started = Arrays.copyOf(started, size);
         startSeen = Arrays.copyOf(startSeen, size);
         out = Arrays.copyOf(out, size);
+        askedAt = Arrays.copyOf(askedAt, size);
+        figure = Arrays.copyOf(figure, size);
         for (Listed told : lines) {
             int i = told.backend();
             line[i] = told.sized(stated.sizes());
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -17,8 +17,6 @@
     private final Chance chance;
     private final Deque<Exchange> kept = new ArrayDeque<>();
     private double swapAt;
-    /** When a probe that is still out was sent, 0 if there is none, and the figure last ranked by. */
-    double[] askedAt = {}, figure = {};
 
     Selection(Fleet fleet, Estimate estimate, Eligibility eligibility, Chance chance) {
         this.fleet = fleet;
@@ -27,11 +25,6 @@
         this.chance = chance;
     }
 
-    void listed() {
-        askedAt = Arrays.copyOf(askedAt, fleet.size);
-        figure = Arrays.copyOf(figure, fleet.size);
-    }
-
     /** How many it uses: where others tell as many as they count on, else those that it hears from often. */
     private int part(double now) {
         double heard = estimate.othersHeard ? 0 : estimate.ownRate.at(now) * estimate.memory;
@@ -58,7 +51,8 @@
     /** Danger: one that leaves a probe unanswered looks as idle as it last was. */
     @Override
     boolean mayTake(Exchange x, int i, double now) {
-        return (askedAt[i] == 0 || now - askedAt[i] < PATIENCE * estimate.window) && super.mayTake(x, i, now);
+        return (fleet.askedAt[i] == 0 || now - fleet.askedAt[i] < PATIENCE * estimate.window)
+                && super.mayTake(x, i, now);
     }
 
     /** Ranks the part by estimate and, beyond it, crossing's charge as a share of the exchange's benefit. */
@@ -69,16 +63,16 @@
         int[] order = fleet.order;
         for (int j = 0; j < part; j++) {
             int i = order[j], at = j;
-            figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
+            fleet.figure[i] = !mayTake(x, i, now) ? Double.POSITIVE_INFINITY : estimate.of(i, now)
                     + (fleet.line[i].location() == fleet.stated.location() ? 0 : cross)
                     + (!estimate.old() ? 1e-6 * chance.next() : (1 - estimate.trust(i, now)) * (eligibility
                     .suspicion(i, now) - TIE * Math.log(1 - chance.next()) * estimate.worth(i, now)));
-            for (; at > 0 && figure[order[at - 1]] > figure[i]; at--) {
+            for (; at > 0 && fleet.figure[order[at - 1]] > fleet.figure[i]; at--) {
                 order[at] = order[at - 1];
             }
             order[at] = i;
         }
-        x.best = part == 0 || figure[order[0]] == Double.POSITIVE_INFINITY ? -1 : order[0];
+        x.best = part == 0 || fleet.figure[order[0]] == Double.POSITIVE_INFINITY ? -1 : order[0];
     }
 
     /** Asks the least estimated for reports and keeps the exchange, until the least estimated is fresh. */
@@ -94,8 +88,8 @@
         x.asks++;
         x.asked = Arrays.copyOf(fleet.order, Math.min(Estimate.ASKED, part));
         for (int i : x.asked) {
-            if (askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
-                askedAt[i] = now;
+            if (fleet.askedAt[i] == 0 && estimate.trust(i, now) <= FRESH && mayTake(x, i, now)) {
+                fleet.askedAt[i] = now;
                 turn.probes.add(i);
             }
         }
@@ -105,8 +99,9 @@
 
     /** Danger: a part of which none can take the exchange would shed what others in the fleet could take. */
     boolean drawsOthers(Exchange x, double now) {
-        int part = part(now), found = 0;
-        for (int j = part; j < fleet.order.length && found < part && x.draws == 0; j++) {
+        // Danger: of the rest others tell nothing, so that the busiest there would look as idle as can be.
+        int part = part(now), found = 0, most = estimate.othersHeard && x.best >= 0 ? 0 : part;
+        for (int j = part; j < fleet.order.length && found < most && x.draws == 0; j++) {
             fleet.swap(j, j + (int) (chance.next() * (fleet.order.length - j)));
             if (mayTake(x, fleet.order[j], now)) {
                 fleet.swap(found++, j);
@@ -120,8 +115,8 @@
     /** The wait to expect: at the least loaded backend, and as own forwards meet it where reports are old. */
     double expectedWait(Exchange x, double now) {
         return x.best < 0 ? Double.POSITIVE_INFINITY : estimate.old() ? estimate.ownWait(x.best, now)
-                : Math.max((1 - estimate.trust(x.best, now)) * estimate.metWait.at(now),
-                estimate.wait(x.best, now));
+                : Math.max(estimate.known(x.best) ? 0 : (1 - estimate.trust(x.best, now))
+                * estimate.metWait.at(now), estimate.wait(x.best, now));
     }
 
     /** The least wait to expect in the part as it stands; infinite where none may take the exchange. */
@@ -139,18 +134,13 @@
         x.asks = x.draws = 0;
         turn.sends.add(x.latest);
         estimate.sent(x.best, 1, now);
-    }
-
-    @Override
-    void ended(Forward f, Outcome outcome, double took, double now, Turn turn) {
-        estimate.ended(f, outcome, took, now);
-        super.ended(f, outcome, took, now, turn);
+        eligibility.spend(x.best, 1, now);
     }
 
     /** Takes out an exchange whose asked have answered or that has waited long enough; null if none. */
     Exchange released(double now) {
         Exchange done = kept.stream().filter(x -> x.over || now >= x.keptUntil
-                || Arrays.stream(x.asked).allMatch(i -> askedAt[i] == 0)).findFirst().orElse(null);
+                || Arrays.stream(x.asked).allMatch(i -> fleet.askedAt[i] == 0)).findFirst().orElse(null);
         kept.remove(done);
         return done;
     }
--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -90,6 +90,7 @@
         READ.put("least_share", f -> f.evenness.least());
         READ.put("most_share", f -> f.evenness.most());
         READ.put("crashed", f -> f.crashed);
+        READ.put("back_after", Figures::backAfter);
     }
 
     public static final List<String> FIGURES = List.copyOf(READ.keySet());
--- a/src/main/java/lemondrift/lab/fleet/Judge.java
+++ b/src/main/java/lemondrift/lab/fleet/Judge.java
@@ -46,6 +46,7 @@
     private final double[] excused;
     private Evenness evenness;
     private Figures figures;
+    private double began;
     private Histogram latency;
     private String broken;
     private long ids;
@@ -65,7 +66,8 @@
 
     /** Counts from here on; what went before is only remembered. */
     final void begins() {
-        evenness.begins(now());
+        began = now();
+        evenness.begins(began);
         figures = new Figures(day);
         latency = new Histogram(LONGEST, 3);
     }
@@ -83,9 +85,16 @@
         return broken;
     }
 
+    /** The second of the day that a time lies in. */
+    int second(double at) {
+        return (int) Math.max(0, Math.min(figures.wantedIn.length - 1, at - began));
+    }
+
     /** The day is over, though clients may still wait. */
     Figures ends() {
         figures.evenness = evenness.measure(now());
+        System.arraycopy(evenness.idleBySecond(), 0, figures.idleIn, 0,
+                Math.min(figures.idleIn.length, evenness.idleBySecond().length));
         return figures;
     }
 
--- a/src/main/java/lemondrift/lab/world/Evenness.java
+++ b/src/main/java/lemondrift/lab/world/Evenness.java
@@ -25,6 +25,7 @@
     private final int[] sent;
     private double now, from, wasted, fullest, idle, crowdedSince = Double.NaN, longestIdle;
     private int mostTogether;
+    private double[] idleIn = {};
 
     /** All are fit and hold nothing at first; the contract time is the shortest. */
     public Evenness(int backends, int cores, double contractTime) {
@@ -45,6 +46,7 @@
         wasted = 0;
         fullest = 0;
         idle = 0;
+        idleIn = new double[0];
         longestIdle = 0;
         mostTogether = 0;
         Arrays.fill(served, 0);
@@ -63,11 +65,27 @@
             }
             wasted += span * Math.min(free, queued);
             idle += span * free;
+            counts(span, free);
             fullest += span * most;
             now = time;
         }
     }
 
+    /** Adds idle time to each second that it lies in. */
+    private void counts(double span, int free) {
+        double end = now - from + span;
+        for (double at = now - from; at < end; at = Math.floor(at) + 1) {
+            int second = (int) at;
+            idleIn = second < idleIn.length ? idleIn : Arrays.copyOf(idleIn, 2 * second + 1);
+            idleIn[second] += (Math.min(end, second + 1) - at) * free / held.length;
+        }
+    }
+
+    /** The share of backends that were fit and idle in each second since it began to count. */
+    public double[] idleBySecond() {
+        return idleIn;
+    }
+
     /** A backend holds so many from now on, and can or can't take more. */
     public void holds(int backend, int many, boolean isFit, double time) {
         passes(time);
--- a/src/main/java/lemondrift/lab/world/Figures.java
+++ b/src/main/java/lemondrift/lab/world/Figures.java
@@ -6,6 +6,10 @@
 
 /** What came of a day. Benefit counts once for what a client wants, however often it asks. */
 public final class Figures {
+    /** The share of benefit that counts as served as usual, and over how many seconds. */
+    private static final double USUAL = 0.95;
+    private static final int BACK_OVER = 3;
+
     /** Benefit that clients wanted, and that was answered within the contract time. */
     public double wanted, served;
     /** Exchanges that proxies took, and how they ended; forwards made, probes sent. */
@@ -25,6 +29,8 @@
 
     /** Benefit wanted and served by the second in which it was wanted; forwards that failed, by backend. */
     public final double[] wantedIn, servedIn;
+    /** By second, on processes: exchanges shed, and the share of backends that were fit and idle. */
+    public final double[] shedIn, idleIn;
     public final long[] failedAt;
     /** How evenly the backends were used; null while the day is played. */
     public Evenness.Measure evenness;
@@ -32,6 +38,8 @@
     public Figures(Day day) {
         wantedIn = new double[(int) Math.ceil(day.lasts()) + 1];
         servedIn = new double[wantedIn.length];
+        shedIn = new double[wantedIn.length];
+        idleIn = new double[wantedIn.length];
         failedAt = new long[day.backends()];
     }
 
@@ -52,6 +60,23 @@
         return worst;
     }
 
+    /**
+     * Seconds from the start of the day after which benefit is served as usual to its end: the end of the
+     * last few seconds of which under 95% was served; 0 where there are none.
+     */
+    public int backAfter() {
+        int back = 0;
+        for (int from = 0; from + BACK_OVER <= wantedIn.length - 1; from++) {
+            double wanted = 0, served = 0;
+            for (int s = from; s < from + BACK_OVER; s++) {
+                wanted += wantedIn[s];
+                served += servedIn[s];
+            }
+            back = served < USUAL * wanted ? from + BACK_OVER : back;
+        }
+        return back;
+    }
+
     /** The backends at which most forwards failed, so many at the most, the worst first. */
     public List<Integer> worstBackends(int most) {
         return IntStream.range(0, failedAt.length).boxed().filter(i -> failedAt[i] > 0)
--- a/src/main/java/lemondrift/peer/Shares.java
+++ b/src/main/java/lemondrift/peer/Shares.java
@@ -63,10 +63,10 @@
                 used(proxy, tag.applyAsInt(line.backend())))).toList();
     }
 
-    /** The share of all proxies that use a backend; all of them may, where this one does not. */
+    /** The share of all proxies that use a backend; 0 where this one does not. */
     private double used(int proxy, int tag) {
         int[] its = users(tag);
-        return Arrays.stream(its).anyMatch(user -> user == proxy) ? (double) its.length / proxies : 1;
+        return Arrays.stream(its).anyMatch(user -> user == proxy) ? (double) its.length / proxies : 0;
     }
 
     /** The numbers of the proxies that use the backend of a tag; nobody uses one that is not listed. */
