Recovery's core: a proxy that has started asks others what an exchange's work is

The module takes the lesson as a prior (Balancer.learned) that own answers outweigh; of cold backends a quarter of the part is kept for what is worth more (trunk reservation). The lab's proxies can recover ([world] recovers). What was given up counts as out for an eighth of the span after which tellings are forgotten (Holdings.givenUp): of 273 forwards in a fleet four times too slow 272 went to a backend that was at work, most of them on exchanges that had timed out.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -29,7 +29,7 @@
         if (selection.asks(x, now, turn)) {
             return;
         }
-        double rank = rank(x);
+        double rank = fleet.stated.rank(x.terms.grade());
         if (x.tenant < quota.length) {
             used[x.tenant].span = estimate.memory;
             used[x.tenant].add(x.forwards + x.draws == 0 ? 1 / estimate.memory : 0, now);
@@ -47,10 +47,6 @@
         }
     }
 
-    private double rank(Exchange x) {
-        return x.terms.grade().benefit() / fleet.stated.benefits().max().orElse(1);
-    }
-
     private double share(double rank) {
         double least = estimate.othersHeard ? TOLD_SHARE : LEAST_SHARE;
         return least + (MOST_SHARE - least) * Math.min(1, rank);
@@ -59,6 +55,6 @@
     /** What it would shed of a grade now, without asking or drawing anybody; changes nothing. */
     Word word(Exchange x, double now) {
         double wait = selection.leastWait(x, now);
-        return new Word(wait / share(rank(x)), Math.min(wait, estimate.window));
+        return new Word(wait / share(fleet.stated.rank(x.terms.grade())), Math.min(wait, estimate.window));
     }
 }
--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -84,6 +84,17 @@
         estimate.othersHeard = any;
     }
 
+    /** What others have found the work of an exchange to be, in seconds, from at least one answer. */
+    public void learned(double work, double answers) {
+        eligibility.supposed = work;
+        eligibility.weight = Math.min(answers, Eligibility.BORROWED);
+    }
+
+    /** The mean work of an exchange as found here, in seconds, and from how many answers. */
+    public double[] work() {
+        return new double[] {eligibility.answerTime, eligibility.answers};
+    }
+
     /** For watching: forwards made there by another's choice, or fewer by its own. */
     public void followed(double now, int backend, int forwards) {
         estimate.sent(backend, forwards, now);
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -1,27 +1,27 @@
 package lemondrift.decide;
 
-import java.util.Arrays;
-import java.util.List;
+import java.util.*;
 import java.util.stream.*;
 import lemondrift.model.*;
 
 /** Rules 3 and 4 and health: which backends may take an exchange now. */
 final class Eligibility extends Stage {
-    /** The least share of bad outcomes that any sound one may have, the most of the ready to suspend. */
-    private static final double SOUND = 0.05, MOST_SUSPENDED = 0.5;
-    /** The sequential test suspends when a sick backend explains the outcomes this many times better. */
-    private static final double SUSPEND_AT = Math.log(1000);
+    /** The least share of bad outcomes that any sound one may have, the most of the ready to suspend, and
+     * when: a sick backend explains the outcomes so many times better. */
+    private static final double SOUND = 0.05, MOST_SUSPENDED = 0.5, SUSPEND_AT = Math.log(1000);
     /** Windows: of use that count against one as good as suspended, and to which a suspension doubles. */
     private static final double SUSPICION = 2, LONGEST = 8;
-    /** A probe's work as a share of an exchange's, where a cold backend's allowance counts it. */
-    static final double PROBE_WORK = 0.01;
+    /** A probe's work as a share of an exchange's, where a cold one's allowance counts it; of how many
+     * answers the mean is, and as how many those of others count at the most. */
+    static final double PROBE_WORK = 0.01, LATELY = 50, BORROWED = 8;
 
     private final Fleet fleet;
     private final Estimate estimate;
     private final Chance chance;
     private double usualBad = SOUND;
-    /** The mean answer time holds some waiting, so that as an exchange's work it is never too little. */
-    private double answerTime, answers = 1;
+    /** The mean answer time holds some waiting, so that as an exchange's work it is never too little; the
+     * number of answers; and what is supposed before there are any, with the weight of so many. */
+    double answerTime, answers, supposed, weight = 1;
 
     /** A test of all outcomes, then one for each grade's; 0 is not suspended. */
     private double[][] score = {}, suspendedUntil = {};
@@ -32,7 +32,7 @@
         this.fleet = fleet;
         this.estimate = estimate;
         this.chance = chance;
-        answerTime = estimate.window / 2;
+        supposed = estimate.window / 2;
     }
 
     void listed(double now) {
@@ -82,7 +82,8 @@
     /** How long an exchange's work takes to drain at half of this proxy's part of what a cold one bears. */
     private double drain(int i, double now) {
         double users = fleet.stated.balancers() * (estimate.known(i) ? fleet.line[i].used() : 1);
-        return answerTime * users * 2 / fleet.stated.rules().fallMultiple() / fleet.coldShare(i, now);
+        double n = Math.min(answers, LATELY), work = (supposed * weight + answerTime * n) / (weight + n);
+        return work * users * 2 / fleet.stated.rules().fallMultiple() / fleet.coldShare(i, now);
     }
 
     void spend(int i, double exchanges, double now) {
@@ -106,8 +107,8 @@
         estimate.ended(f, outcome, took, now);
         boolean good = outcome == Outcome.DELIVERED;
         // Danger: a proxy that has just started knows no answer, and would spare cold ones for a minute.
-        answerTime += good ? (took * fleet.coldShare(f.backend, now) - answerTime)
-                / Math.min(50, ++answers) : 0;
+        double work = took * fleet.coldShare(f.backend, now);
+        answerTime += good ? (work - answerTime) / Math.min(LATELY, ++answers) : 0;
         if (outcome != Outcome.FULL && outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
             usualBad = Math.max(SOUND, usualBad + ((good ? 0 : 1) - usualBad) / 100);
             judge(f.backend, 0, !good, now, turn);
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -63,10 +63,10 @@
     /** A report overwrites the estimate and clears the sends; exchanges held add their work to it. */
     void reported(int i, double[] figures, boolean delivered, boolean answer, double now) {
         Settings.Reports places = fleet.stated.reports();
-        double u = figure(figures, places.utilisation(), 0);
+        double u = Settings.Reports.figure(figures, places.utilisation());
         // Danger: one that comes with an answer counts the exchange answered, so the idle would look busy.
         double itself = places.countsAnswered() && answer && delivered ? 1 : 0;
-        double h = Math.max(0, figure(figures, places.held(), 0) - itself);
+        double h = Math.max(0, Settings.Reports.figure(figures, places.held()) - itself);
         if (figures == null || !(u + h >= 0)) {
             return;
         }
@@ -78,7 +78,7 @@
         period -= reportedAt[i] > 0 && delivered ? Math.max(0, period - now + reportedAt[i]) / 4 : 0;
         use[i] = delivered ? u : 1;
         held[i] = h;
-        double s = u / figure(figures, places.rate(), 0);
+        double s = u / Settings.Reports.figure(figures, places.rate());
         if (s > 0 && s < window) {
             told += u * (s - told) / (FEW * FEW);
             rated[i] += (s - rated[i]) * (rated[i] == 0 ? 1 : 2.0 / FEW);
@@ -93,10 +93,6 @@
         heards.add(1, now);
     }
 
-    private static double figure(double[] figures, int place, double otherwise) {
-        return place >= 0 && figures != null && place < figures.length ? figures[place] : otherwise;
-    }
-
     private double mean(double now) {
         return (0.5 + heard.at(now)) / (1 + heards.at(now));
     }
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -1,9 +1,6 @@
 package lemondrift.decide;
 
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.List;
-import java.util.PriorityQueue;
+import java.util.*;
 import lemondrift.model.*;
 
 /** Rule 1: one final answer before expiry and nothing sent after it. */
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -1,7 +1,6 @@
 package lemondrift.decide;
 
-import java.util.Arrays;
-import java.util.List;
+import java.util.*;
 import java.util.stream.IntStream;
 import lemondrift.model.*;
 
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -35,9 +35,7 @@
     @Override
     boolean mayTake(Exchange x, int i, double now) {
         Forward f = x.latest;
-        while (f != null && f.backend != i) {
-            f = f.earlier;
-        }
+        for (; f != null && f.backend != i; f = f.earlier) { }
         return f == null && (x.mayHaveRun == null || mayRepeat(x.terms.grade(), x.mayHaveRun, i, now))
                 && super.mayTake(x, i, now);
     }
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -1,15 +1,13 @@
 package lemondrift.decide;
 
-import java.util.ArrayDeque;
-import java.util.Arrays;
-import java.util.Deque;
+import java.util.*;
 import lemondrift.model.*;
 
 /** The part of the fleet that this proxy uses, who of it is asked for a report, and the least estimate. */
 final class Selection extends Stage {
     /** The share that a utilisation higher by one makes late, an old tie's width, how much a fresh report is
-     * trusted, and for which share of the window an answer is awaited. */
-    private static final double HARM = 0.5, TIE = 0.125, FRESH = 0.6, PATIENCE = 1.0 / 32;
+     * trusted, for which share of the window an answer is awaited, and what of cold ones is for benefit. */
+    private static final double HARM = 0.5, TIE = 0.125, FRESH = 0.6, PATIENCE = 1.0 / 32, SPARE = 0.25;
 
     private final Fleet fleet;
     private final Estimate estimate;
@@ -72,7 +70,10 @@
             }
             order[at] = i;
         }
-        x.best = part == 0 || fleet.figure[order[0]] == Double.POSITIVE_INFINITY ? -1 : order[0];
+        // Danger: whoever takes the last room of cold ones for little keeps out what is worth most.
+        int spare = part == 0 || fleet.coldShare(order[0], now) == 1 ? 0
+                : (int) (SPARE * part * (1 - fleet.stated.rank(x.terms.grade())));
+        x.best = part == 0 || fleet.figure[order[spare]] == Double.POSITIVE_INFINITY ? -1 : order[0];
     }
 
     /** Asks the least estimated for reports and keeps the exchange, until the least estimated is fresh. */
--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -25,13 +25,14 @@
  * @param seeds each policy plays one day for each
  * @param expects what must hold of the module's every day
  * @param tells whether the module's proxies tell one another what they have out
+ * @param recovers whether they ask one another after their start, where they tell
  * @param host what it is played on
  * @param uneven the deviation of the logarithm of a proxy's share of traffic, on processes; 0 is even
  * @param connections that a backend holds at once, on processes; 0 is any number
  * @param faults what goes wrong with and between the processes
  */
 public record Experiment(String name, String about, Day day, List<String> policies, List<Long> seeds,
-        List<Expectation> expects, boolean tells, Host host, double uneven,
+        List<Expectation> expects, boolean tells, boolean recovers, Host host, double uneven,
         int connections, List<Fault> faults) {
     /** Virtual time, or real processes and sockets. */
     public enum Host { VIRTUAL, PROCESSES }
@@ -128,12 +129,17 @@
                 day.troubles());
     }
 
+    private Module module(Settings settings, long seed, int p) {
+        Module module = new Module(settings, seed, p, tells);
+        return recovers && tells ? module.recovering(settings) : module;
+    }
+
     private Run play(String policy, long seed) {
         Day its = day(seed);
         World[] world = {null};
         if (policy.equals(MODULE)) {
-            world[0] = new World(its, p -> new Module(its.settings().at(p % its.settings().locations()),
-                    seed * 1000 + p, p, tells));
+            world[0] = new World(its, p -> module(its.settings().at(p % its.settings().locations()),
+                    seed * 1000 + p, p));
         } else {
             Baseline.Kind kind = Baseline.Kind.valueOf(policy.toUpperCase(Locale.ROOT));
             world[0] = new World(its, 3, p -> new Baseline(kind, its.settings(), seed * 1000 + p,
--- a/src/main/java/lemondrift/lab/ExperimentFile.java
+++ b/src/main/java/lemondrift/lab/ExperimentFile.java
@@ -21,7 +21,8 @@
     private static final List<String> KEYS = List.of("about", "host", "policies", "seeds", "expect", "world",
             "trouble", "fault");
     private static final List<String> WORLD = List.of("proxies", "backends", "cores", "load", "work",
-            "spread", "tries", "way", "delay", "grace", "lasts", "locations", "probe", "tells", "contract",
+            "spread", "tries", "way", "delay", "grace", "lasts", "locations", "probe", "tells", "recovers",
+            "contract",
             "uneven", "connections");
     private static final List<String> TROUBLE = List.of("kind", "at", "lasts", "share", "strength");
     private static final List<String> FAULT = List.of("kind", "channel", "from", "to", "both", "at", "lasts",
@@ -86,7 +87,8 @@
         toml.known(world, WORLD);
         return new Experiment(file.getFileName().toString().replaceFirst("\\.toml$", ""),
                 toml.all.path("about").asText(), day(world, troubles), policies,
-                seeds.isEmpty() ? List.of(1L) : seeds, expects, toml.whether(world, "tells"), host,
+                seeds.isEmpty() ? List.of(1L) : seeds, expects, toml.whether(world, "tells"),
+                toml.whether(world, "recovers"), host,
                 toml.number(world, "uneven", 0, 0, 3), toml.whole(world, "connections", 0, 0, 65_536),
                 faults);
     }
--- a/src/main/java/lemondrift/lab/Module.java
+++ b/src/main/java/lemondrift/lab/Module.java
@@ -1,5 +1,6 @@
 package lemondrift.lab;
 
+import java.util.ArrayList;
 import java.util.List;
 import lemondrift.decide.Balancer;
 import lemondrift.lab.world.Decider;
@@ -11,6 +12,9 @@
 import lemondrift.model.Turn;
 import lemondrift.peer.Holdings;
 import lemondrift.peer.Shares;
+import lemondrift.recovery.Hello;
+import lemondrift.recovery.Pace;
+import lemondrift.recovery.Recovery;
 
 /** The decision module itself as a world's decider. */
 public final class Module implements Decider {
@@ -22,6 +26,9 @@
     /** What it tells the others and hears of them, its backends' tags being their indexes; or null. */
     private Holdings holdings;
     private Shares shares;
+    /** Its way back after its start; null where it asks nobody. */
+    private Recovery recovery;
+    private final List<Holdings.Telling> said = new ArrayList<>();
 
     public Module(Settings settings, long seed) {
         this(settings, seed, 0, false);
@@ -39,7 +46,25 @@
         }
     }
 
+    /** One that asks the others at its start what they have found. */
+    public Module recovering(Settings settings) {
+        recovery = Recovery.begins(Pace.of(settings.window()), self, settings.balancers(), 1 + self, 0);
+        return this;
+    }
+
+    private void says(Recovery.Step step, double now) {
+        recovery = step.next();
+        step.sent().forEach(each -> said.add(new Holdings.Telling(each.to(), each.hello().encoded())));
+        Recovery.Lesson lesson = recovery.isSettled() ? null : recovery.lesson(now);
+        if (lesson != null) {
+            balancer.learned(lesson.work(), lesson.answers());
+        }
+    }
+
     private void hear(double now) {
+        if (recovery != null) {
+            recovery = recovery.found(balancer.work()[0], (int) balancer.work()[1]);
+        }
         if (holdings != null) {
             holdings.forget(now);
             balancer.othersHeard(holdings.heard(now) > 0);
@@ -63,7 +88,11 @@
     public Turn ended(double now, Forward f, Outcome outcome, double took, boolean over, double[] report) {
         hear(now);
         if (holdings != null) {
-            holdings.ended(f.backend);
+            if (outcome.mayRunOn) {
+                holdings.givenUp(f.backend, now);
+            } else {
+                holdings.ended(f.backend);
+            }
         }
         return sent(balancer.forwardEnded(now, f, outcome, took, over, report));
     }
@@ -93,16 +122,37 @@
 
     @Override
     public List<Holdings.Telling> tellings(double now) {
-        return holdings == null ? List.of() : holdings.tellings(now);
+        if (holdings == null) {
+            return List.of();
+        }
+        if (recovery != null) {
+            says(recovery.wake(now), now);
+        }
+        List<Holdings.Telling> all = new ArrayList<>(said);
+        said.clear();
+        all.addAll(holdings.tellings(now));
+        return all;
     }
 
     @Override
     public double tellAt() {
-        return holdings == null ? Double.POSITIVE_INFINITY : holdings.tellAt();
+        if (holdings == null) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double asks = recovery == null ? Double.POSITIVE_INFINITY : recovery.wakeAt();
+        return said.isEmpty() ? Math.min(holdings.tellAt(), asks) : 0;
     }
 
     @Override
     public void told(double now, int from, byte[] datagram) {
-        holdings.told(from, datagram, now);
+        if (datagram[0] != Hello.KIND) {
+            holdings.told(from, datagram, now);
+        } else if (recovery != null) {
+            Recovery.Step step = recovery.heard(from, Hello.of(datagram), now);
+            if (step.anew()) {
+                holdings.startedAnew(from);
+            }
+            says(step, now);
+        }
     }
 }
--- a/src/main/java/lemondrift/lab/world/World.java
+++ b/src/main/java/lemondrift/lab/world/World.java
@@ -232,12 +232,19 @@
             figures.messages++;
             if (chance.nextDouble() >= LOST) {
                 agenda.in(MESSAGE * (0.5 + chance.nextDouble()),
-                        () -> proxies[each.to()].told(agenda.now(), proxy, each.datagram()));
+                        () -> hears(each.to(), proxy, each.datagram()));
             }
         }
         return proxies[proxy].tellAt();
     }
 
+    private void hears(int proxy, int from, byte[] datagram) {
+        proxies[proxy].told(agenda.now(), from, datagram);
+        if (proxies[proxy].tellAt() <= agenda.now()) {
+            carryOut(proxy, proxies[proxy].woken(agenda.now()));
+        }
+    }
+
     private void send(int proxy, Forward f) {
         double spread = day.spread();
         double work = day.work() * troubles.heavy * Math.exp(spread * bell.sample() - spread * spread / 2);
--- a/src/main/java/lemondrift/model/Outcome.java
+++ b/src/main/java/lemondrift/model/Outcome.java
@@ -2,12 +2,15 @@
 
 /** How a forward ended, and whether that proves that it never ran. */
 public enum Outcome {
-    ERROR(false), DELIVERED(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
-    CANCELLED(false), MOOT(true);
+    ERROR(false, false), DELIVERED(false, false), FULL(true, false), TIMED_OUT(false, true),
+    CONNECT_FAILED(true, false), RESET(false, false), CANCELLED(false, true), MOOT(true, false);
 
     public final boolean neverRan;
+    /** Whether nobody waits for it any more though the backend may be at work on it. */
+    public final boolean mayRunOn;
 
-    Outcome(boolean neverRan) {
+    Outcome(boolean neverRan, boolean mayRunOn) {
         this.neverRan = neverRan;
+        this.mayRunOn = mayRunOn;
     }
 }
--- a/src/main/java/lemondrift/model/Settings.java
+++ b/src/main/java/lemondrift/model/Settings.java
@@ -32,6 +32,11 @@
         return live().mapToDouble(ServiceGrade::benefit);
     }
 
+    /** A grade's benefit as a share of the most that one is stated to have. */
+    public double rank(ServiceGrade grade) {
+        return grade.benefit() / benefits().max().orElse(1);
+    }
+
     /** What an exchange of a grade comes under now. */
     public Terms terms(int grade) {
         return new Terms(grades.get(grade), limits.forwards);
@@ -67,7 +72,12 @@
      * Load reports: where they come from, and at which place each figure stands (-1: not given). Where the
      * exchanges held are all those in work, an answer's report still counts the one that it answers.
      */
-    public record Reports(boolean inAnswers, int utilisation, int held, boolean countsAnswered, int rate) {}
+    public record Reports(boolean inAnswers, int utilisation, int held, boolean countsAnswered, int rate) {
+        /** The figure of a report at a place; 0 where there is none. */
+        public static double figure(double[] report, int place) {
+            return place >= 0 && report != null && place < report.length ? report[place] : 0;
+        }
+    }
 
     public record Limits(boolean cancel, boolean probes, int forwards,
             double retryAfter) {}
--- a/src/main/java/lemondrift/peer/Holdings.java
+++ b/src/main/java/lemondrift/peer/Holdings.java
@@ -1,11 +1,13 @@
 package lemondrift.peer;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.IntConsumer;
 import java.util.stream.IntStream;
 import java.util.zip.CRC32;
@@ -20,9 +22,14 @@
     public static final int MOST_BYTES = 256;
     private static final byte KIND = 2;
     private static final int HEAD = 3, TAG_BYTES = 3, TAG_BITS = 24, MOST = (MOST_BYTES - HEAD) / TAG_BYTES;
+    /** One that was given up counts as out for this share of the same span. */
+    private static final double LINGER = 0.125;
     /** An unchanged telling is told again after this share of the span after which one is forgotten. */
     private static final double AGAIN = 0.4;
 
+    /** An exchange that was given up, and until when it counts. */
+    private record Lingering(int tag, double until) {}
+
     /** What goes to one other proxy. */
     public record Telling(int to, byte[] datagram) {}
 
@@ -40,6 +47,7 @@
     private final IntConsumer changed;
     private final Shares shares;
     private final Map<Integer, Integer> others = new HashMap<>(), own = new HashMap<>();
+    private final Queue<Lingering> lingering = new ArrayDeque<>();
 
     /**
      * The number of proxies and which of them this one is, the least seconds between two tellings to one, the
@@ -72,15 +80,32 @@
         changes(tag);
     }
 
+    /**
+     * Nobody waits any more for an exchange that was sent to the backend of a tag; it counts as out for a
+     * while. Danger: the backend may be at work on it still, and where most are given up so, all look idle.
+     */
+    public void givenUp(int tag, double now) {
+        lingering.add(new Lingering(tag, now + LINGER * forget));
+        changed.accept(tag);
+    }
+
+    private void lapse(double now) {
+        while (!lingering.isEmpty() && lingering.peek().until <= now) {
+            int tag = lingering.remove().tag;
+            ended(tag);
+            changed.accept(tag);
+        }
+    }
+
     private void changes(int tag) {
         for (int user : shares.users(tag)) {
             peers[user].dirty |= user != self;
         }
     }
 
-    /** How many exchanges the others have out at a backend. */
+    /** How many exchanges the others have out at a backend, and how many of its own it has given up there. */
     public int others(int tag) {
-        return others.getOrDefault(tag, 0);
+        return others.getOrDefault(tag, 0) + (int) lingering.stream().filter(each -> each.tag == tag).count();
     }
 
     /**
@@ -114,8 +139,20 @@
         replace(before, peer.tags);
     }
 
+    /**
+     * Another proxy has started anew. Danger: it counts its tellings from the beginning again, and what its
+     * former self had out would look busy until it is forgotten.
+     */
+    public void startedAnew(int proxy) {
+        int[] before = peers[proxy].tags;
+        peers[proxy].tags = new int[0];
+        peers[proxy].heardAt = Double.NEGATIVE_INFINITY;
+        replace(before, peers[proxy].tags);
+    }
+
     /** Danger: what a proxy had out that was killed would keep its backends looking busy for good. */
     public void forget(double now) {
+        lapse(now);
         for (Peer peer : peers) {
             if (peer.tags.length > 0 && now - peer.heardAt > forget) {
                 int[] before = peer.tags;
@@ -134,7 +171,8 @@
 
     /** When the next telling is due; infinite where nothing is to be told. */
     public double tellAt() {
-        return Arrays.stream(peers).mapToDouble(this::tellAt).min().orElse(Double.POSITIVE_INFINITY);
+        double lapses = lingering.isEmpty() ? Double.POSITIVE_INFINITY : lingering.peek().until;
+        return Math.min(lapses, Arrays.stream(peers).mapToDouble(this::tellAt).min().orElse(lapses));
     }
 
     private double tellAt(Peer peer) {
@@ -144,6 +182,7 @@
 
     /** The tellings that are due, which count as told. What does not fit is left out. */
     public List<Telling> tellings(double now) {
+        lapse(now);
         List<Telling> due = new ArrayList<>();
         for (int to = 0; to < peers.length; to++) {
             if (tellAt(peers[to]) <= now) {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -1,14 +1,11 @@
 package lemondrift.serve;
 
 import com.google.gson.JsonObject;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -21,8 +18,6 @@
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
-import lemondrift.peer.Holdings;
-import lemondrift.peer.Shares;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
@@ -41,8 +36,6 @@
     /** Something that happened, and the exchange that it is about, if any. */
     private record Event(Exchange about, Supplier<Turn> call) {}
 
-    private record Told(int from, byte[] datagram) {}
-
     private final BlockingQueue<Event> queue = new ArrayBlockingQueue<>(QUEUED);
     private final Balancer balancer;
     private final Directory directory;
@@ -50,14 +43,8 @@
     private final Hands hands;
     private final Map<Exchange, Taken> open = new HashMap<>();
     private final Thread thread = new Thread(this::run, "owner");
-    /** What the others have told and is not handled yet; null where they tell nothing. */
-    private final Queue<Told> told = new ConcurrentLinkedQueue<>();
-    /** Only the owner's thread uses these; the tags go by index. */
-    private Holdings holdings;
-    private Shares shares;
-    private int self;
-    private final Map<Integer, Integer> byTag = new HashMap<>();
-    private int[] tags = {};
+    /** What others tell and are told; null where they tell nothing. */
+    private Tellings tellings;
     private double wakeAt = Double.POSITIVE_INFINITY;
     /** What other settings would have decided; null where nobody watches. */
     private Shadow shadow;
@@ -83,14 +70,7 @@
 
     /** Tells the other proxies what is out here and hears it of them; before the start. */
     void tells(Peers.Place place, int part) {
-        self = place.self();
-        shares = new Shares(place.proxies().size(), part);
-        holdings = new Holdings(place.proxies().size(), self, place.pace(), place.forget(), shares, tag -> {
-            Integer backend = byTag.get(tag);
-            if (backend != null) {
-                balancer.othersHold(backend, holdings.others(tag));
-            }
-        });
+        tellings = new Tellings(place, part, balancer, directory);
     }
 
     /** Counts what these settings would have decided otherwise; before the start. */
@@ -120,31 +100,9 @@
         }
     }
 
-    /** Danger: the owner is not woken, as what others have out matters only when it decides. */
+    /** Another proxy's datagram has come. */
     void told(int from, byte[] datagram) {
-        told.add(new Told(from, datagram));
-    }
-
-    private void hear() {
-        for (Told next = told.poll(); next != null; next = told.poll()) {
-            holdings.told(next.from, next.datagram, clock.now());
-        }
-        holdings.forget(clock.now());
-        balancer.othersHeard(holdings.heard(clock.now()) > 0);
-    }
-
-    /** Tags what is listed and draws this proxy's lots for it, as the others draw them. */
-    private List<Listed> drawn(boolean whole, List<Listed> lines) {
-        for (Listed line : lines) {
-            int backend = line.backend();
-            tags = Arrays.copyOf(tags, Math.max(tags.length, backend + 1));
-            byTag.remove(tags[backend], backend);
-            tags[backend] = Holdings.tag(directory.id(backend));
-            if (line.state() == Listed.State.READY) {
-                byTag.put(tags[backend], backend);
-            }
-        }
-        return shares.drawn(self, whole, lines, backend -> tags[backend]);
+        tellings.told(from, datagram);
     }
 
     void start() {
@@ -193,8 +151,8 @@
             } else if (answer != null && answer.rest() != null) {
                 hands.drop(answer);
             }
-            if (holdings != null) {
-                holdings.ended(tags[f.backend]);
+            if (tellings != null) {
+                tellings.ended(f.backend, outcome, clock.now());
             }
             boolean over = wins || f.exchange.over;
             if (shadow != null) {
@@ -244,14 +202,13 @@
         put(null, () -> {
             boolean whole = list.get("complete").getAsBoolean();
             List<Listed> listed = directory.listed(list, whole);
-            List<Listed> lines = holdings == null ? listed : drawn(whole, listed);
+            List<Listed> lines = tellings == null ? listed : tellings.drawn(whole, listed);
             if (shadow != null) {
                 watch(s -> s.listed(clock.now(), whole, stale, lines));
             }
             Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
-            if (holdings != null) {
-                lines.forEach(line -> balancer.othersHold(line.backend(),
-                        holdings.others(tags[line.backend()])));
+            if (tellings != null) {
+                tellings.listed(lines);
             }
             lines.stream().filter(line -> line.state() != Listed.State.READY)
                     .forEach(line -> hands.letGo(line.backend()));
@@ -295,15 +252,15 @@
     private void run() {
         while (!Thread.interrupted()) {
             try {
-                double next = holdings == null ? wakeAt : Math.min(wakeAt, holdings.tellAt());
+                double next = tellings == null ? wakeAt : Math.min(wakeAt, tellings.tellAt());
                 next = shadow == null ? next : Math.min(next, shadow.wakeAt());
                 double wait = Math.min(LONGEST_WAIT, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
                 double began = clock.now();
                 int handled = 0;
-                if (holdings != null) {
-                    hear();
+                if (tellings != null) {
+                    tellings.hear(clock.now());
                 }
                 for (; event != null; handled++) {
                     handle(event);
@@ -323,8 +280,8 @@
                     hands.decided(arrived, clock.now() - began);
                     arrived = 0;
                 }
-                if (holdings != null) {
-                    holdings.tellings(clock.now()).forEach(hands::tell);
+                if (tellings != null) {
+                    tellings.tellings(clock.now()).forEach(hands::tell);
                 }
                 hands.act();
             } catch (InterruptedException e) {
@@ -368,8 +325,8 @@
         turn.cancels.forEach(hands::cancel);
         for (Forward f : turn.sends) {
             directory.hold(f.backend);
-            if (holdings != null) {
-                holdings.sent(tags[f.backend]);
+            if (tellings != null) {
+                tellings.sent(f.backend);
             }
             hands.send(f, open.get(f.exchange), directory.address(f.backend));
         }
--- /dev/null
+++ b/src/main/java/lemondrift/serve/Tellings.java
@@ -0,0 +1,103 @@
+package lemondrift.serve;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import lemondrift.decide.Balancer;
+import lemondrift.model.Listed;
+import lemondrift.model.Outcome;
+import lemondrift.peer.Holdings;
+import lemondrift.peer.Shares;
+
+/** What this proxy tells the others and hears of them, for its decisions. Owner's thread only, but for told. */
+final class Tellings {
+    private record Told(int from, byte[] datagram) {}
+
+    private final Balancer balancer;
+    private final Directory directory;
+    private final int self;
+    private final Shares shares;
+    private final Holdings holdings;
+    /** What has come and is not handled yet. */
+    private final Queue<Told> told = new ConcurrentLinkedQueue<>();
+    private final Map<Integer, Integer> byTag = new HashMap<>();
+    /** By index. */
+    private int[] tags = {};
+
+    Tellings(Peers.Place place, int part, Balancer balancer, Directory directory) {
+        this.balancer = balancer;
+        this.directory = directory;
+        self = place.self();
+        shares = new Shares(place.proxies().size(), part);
+        holdings = new Holdings(place.proxies().size(), self, place.pace(), place.forget(), shares, tag -> {
+            Integer backend = byTag.get(tag);
+            if (backend != null) {
+                balancer.othersHold(backend, holdings().others(tag));
+            }
+        });
+    }
+
+    private Holdings holdings() {
+        return holdings;
+    }
+
+    /** Danger: the owner is not woken, as what others have out matters only when it decides. Any thread. */
+    void told(int from, byte[] datagram) {
+        told.add(new Told(from, datagram));
+    }
+
+    void hear(double now) {
+        for (Told next = told.poll(); next != null; next = told.poll()) {
+            holdings.told(next.from, next.datagram, now);
+        }
+        holdings.forget(now);
+        balancer.othersHeard(holdings.heard(now) > 0);
+    }
+
+    /** Tags what is listed and draws this proxy's lots for it, as the others draw them. */
+    List<Listed> drawn(boolean whole, List<Listed> lines) {
+        for (Listed line : lines) {
+            int backend = line.backend();
+            tags = Arrays.copyOf(tags, Math.max(tags.length, backend + 1));
+            byTag.remove(tags[backend], backend);
+            tags[backend] = Holdings.tag(directory.id(backend));
+            if (line.state() == Listed.State.READY) {
+                byTag.put(tags[backend], backend);
+            }
+        }
+        return shares.drawn(self, whole, lines, backend -> tags[backend]);
+    }
+
+    /** The decisions have been told of a list. */
+    void listed(List<Listed> lines) {
+        lines.forEach(line -> balancer.othersHold(line.backend(), holdings.others(tags[line.backend()])));
+    }
+
+    void sent(int backend) {
+        holdings.sent(tags[backend]);
+    }
+
+    void ended(int backend, Outcome outcome, double now) {
+        if (outcome.mayRunOn) {
+            holdings.givenUp(tags[backend], now);
+        } else {
+            holdings.ended(tags[backend]);
+        }
+    }
+
+    /** Another proxy has started anew: what its former self had out is over. */
+    void startedAnew(int proxy) {
+        holdings.startedAnew(proxy);
+    }
+
+    double tellAt() {
+        return holdings.tellAt();
+    }
+
+    List<Holdings.Telling> tellings(double now) {
+        return holdings.tellings(now);
+    }
+}
--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -18,7 +18,7 @@
     static Experiment experiment(double load) {
         Day day = new Day(Experiment.settings(PROXIES, 2, 0.08, 1.5), PROXIES, BACKENDS, 1,
                 load * BACKENDS / 0.05, 0.05, 0.5, 3, 0, 0.1, 2, 3, 1, List.of());
-        return new Experiment("small", "", day, List.of(), List.of(1L), List.of(), true,
+        return new Experiment("small", "", day, List.of(), List.of(1L), List.of(), true, true,
                 Experiment.Host.PROCESSES, 0, 0, List.of());
     }
 
