--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint run
 
-build:                     # target/lemondrift.jar and target/lib
-	mvn -B -ntp -q -DskipTests package
+build:                     # target/lemondrift.jar, target/lib and the class archive, as the deploy file says
+	@sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml | sh
 
 test:                      # all tests and the lint, as CI does
 	mvn -B -ntp verify
--- a/src/main/java/lemondrift/cli/Lemondrift.java
+++ b/src/main/java/lemondrift/cli/Lemondrift.java
@@ -10,6 +10,7 @@
 @Command(name = "lemondrift", mixinStandardHelpOptions = true, version = "lemondrift 0.1.0",
         description = "A load balancer whose decisions stay good when things fail.",
         subcommands = {Lemondrift.Serve.class, Lemondrift.Check.class, Lemondrift.Drill.class, Lab.class,
+            RecoveryCommand.class,
             AutoComplete.GenerateCompletion.class})
 public final class Lemondrift {
     /** Exit codes: done, the run failed or a rule broke, the call can't be used. */
--- a/src/main/java/lemondrift/lab/ExperimentFile.java
+++ b/src/main/java/lemondrift/lab/ExperimentFile.java
@@ -88,7 +88,7 @@
         return new Experiment(file.getFileName().toString().replaceFirst("\\.toml$", ""),
                 toml.all.path("about").asText(), day(world, troubles), policies,
                 seeds.isEmpty() ? List.of(1L) : seeds, expects, toml.whether(world, "tells"),
-                toml.whether(world, "recovers"), host,
+                world.has("recovers") ? toml.whether(world, "recovers") : toml.whether(world, "tells"), host,
                 toml.number(world, "uneven", 0, 0, 3), toml.whole(world, "connections", 0, 0, 65_536),
                 faults);
     }
--- a/src/main/java/lemondrift/lab/fleet/Processes.java
+++ b/src/main/java/lemondrift/lab/fleet/Processes.java
@@ -37,7 +37,7 @@
     private final Launcher launcher;
     private final Path folder;
     private final Day day;
-    private final boolean tells;
+    private final boolean tells, recovers;
     private final List<String> peers;
     private final Process[] all;
     private final boolean[] paused;
@@ -45,11 +45,13 @@
     private int starts;
 
     /** Their files go into a folder; peers are all proxies' addresses for datagrams, as they see them. */
-    Processes(Launcher launcher, Path folder, Day day, boolean tells, List<String> peers) throws IOException {
+    Processes(Launcher launcher, Path folder, Day day, boolean tells, boolean recovers, List<String> peers)
+            throws IOException {
         this.launcher = launcher;
         this.folder = folder;
         this.day = day;
         this.tells = tells;
+        this.recovers = recovers;
         this.peers = peers;
         all = new Process[day.proxies()];
         paused = new boolean[day.proxies()];
@@ -80,6 +82,9 @@
                     .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(
                             folder.resolve("n" + p + ".log").toFile()));
             builder.environment().putAll(launcher.environment());
+            if (!recovers) {
+                builder.environment().put("PROXY_RECOVERY", "");
+            }
             builder.environment().put("PROXY_CONFIG", file.toString());
             builder.environment().put("PROXY_NAME", "n" + p);
             builder.environment().put("TMPDIR", folder.toString());
--- a/src/main/java/lemondrift/lab/fleet/Stand.java
+++ b/src/main/java/lemondrift/lab/fleet/Stand.java
@@ -118,7 +118,8 @@
             peers.add(Loop.text(mail.address(p)));
         }
         agents = new Agents(day, bank, segments, agenda, worker, () -> faults, judge, chance);
-        processes = new Processes(launcher, folder, day, experiment.tells(), peers);
+        processes = new Processes(launcher, folder, day, experiment.tells(),
+                experiment.recovers(), peers);
         doors = new Doors(day.proxies(), experiment.uneven(), p -> listens[p], agenda, io,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2));
         crowd = crowd(p -> listens[p], doors::pick);
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -18,6 +18,7 @@
 import lemondrift.door.Bounds;
 import lemondrift.model.ServiceGrade;
 import lemondrift.model.Settings;
+import lemondrift.serve.recovery.Comeback;
 import lemondrift.settings.BadInput;
 import lemondrift.settings.SettingsReader;
 import org.slf4j.Logger;
@@ -31,7 +32,8 @@
         long seed, int sockets, long memory, Settings settings, List<String> gradeNames,
         List<String> tenantNames, List<String> locations, List<String> reportNames, double idle,
         double connectTimeout,
-        JsonObject known, Map<String, String> stated, Bounds door, Peers.Place peers, Settings shadow) {
+        JsonObject known, Map<String, String> stated, Bounds door, Peers.Place peers, Comeback.Plan recovery,
+        Settings shadow) {
     private static final Logger LOG = LoggerFactory.getLogger(Config.class);
     /** What is read once only, as a regular expression over the keys. */
     private static final String AT_A_START = "name|listen|admin_addr|limits\\..*|peer.*"
@@ -55,49 +57,54 @@
         return Math.max(OTHERS, sockets - OTHERS);
     }
 
-    private Config with(InetSocketAddress admin, Bounds door, Peers.Place peers, Settings shadow) {
+    private Config with(InetSocketAddress admin, Bounds door, Peers.Place peers, Comeback.Plan recovery,
+            Settings shadow) {
         return new Config(name, listen, admin, discovery, seed, sockets, memory, settings, gradeNames,
                 tenantNames, locations, reportNames, idle, connectTimeout, known, stated, door, peers,
-                shadow);
+                recovery, shadow);
     }
 
     /** The same with another door. */
     Config with(Bounds other) {
-        return with(other, peers);
+        return with(other, peers, recovery);
     }
 
-    private Config with(Bounds door, Peers.Place peers) {
-        return with(admin, door, peers, shadow);
+    private Config with(Bounds door, Peers.Place peers, Comeback.Plan recovery) {
+        return with(admin, door, peers, recovery, shadow);
     }
 
     /** The same with settings that are watched. */
     Config watching(Settings other) {
-        return with(admin, door, peers, other);
+        return with(admin, door, peers, recovery, other);
     }
 
     /** The same with an operators' address. */
     Config operatedAt(InetSocketAddress other) {
-        return with(other, door, peers, shadow);
+        return with(other, door, peers, recovery, shadow);
     }
 
     /** What the files named in an environment say: PROXY_CONFIG, and the others where there are any. */
     static Config read(Map<String, String> environment) throws IOException {
         String json = json(environment);
         Config config = read(json);
-        config = config.with(door(environment, config), peers(environment, config, json));
+        config = config.with(door(environment, config), peers(environment, config, json),
+                recovery(environment, config));
         return config.named(environment, json);
     }
 
     /**
-     * The same at a hang-up. Danger: the door's and the peers' files hold from a start on, so one that is
-     * gone or can't be used by now must not keep the proxy from following the settings; the log tells of it.
+     * The same at a hang-up. Danger: the door's, the peers' and recovery's files hold from a start on, so one
+     * that is gone or can't be used by now must not keep the proxy from following the settings; the log tells
+     * of it.
      */
     static Config readAgain(Map<String, String> environment, Config running) throws IOException {
         String json = json(environment);
-        Config config = read(json).with(running.door, running.peers).named(environment, json);
+        Config config = read(json).with(running.door, running.peers, running.recovery)
+                .named(environment, json);
         try {
             door(environment, config);
             peers(environment, config, json);
+            recovery(environment, config);
         } catch (IOException | RuntimeException e) {
             LOG.warn("would keep the next start from serving: {}", e.toString().replace('\n', ' '));
         }
@@ -122,6 +129,13 @@
         return file == null ? null : PeersFile.read(Path.of(file), config.settings, json);
     }
 
+    /** Null where it is not named, or named by nothing. */
+    private static Comeback.Plan recovery(Map<String, String> environment, Config config) throws IOException {
+        String file = environment.get("PROXY_RECOVERY");
+        return file == null || file.isEmpty() ? null
+                : RecoveryFile.read(Path.of(file), config.settings.window());
+    }
+
     /** With what else the environment names: the operators' address and what is watched. */
     private Config named(Map<String, String> environment, String json) throws IOException {
         String other = environment.get("PROXY_ADMIN_ADDR"), shadow = environment.get("PROXY_SHADOW");
@@ -154,7 +168,7 @@
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
                 reader.number("limits.connectTimeout", 250) / 1000, known(json), stated(pairs),
-                DoorFile.usual(connections(sockets), settings), null, null);
+                DoorFile.usual(connections(sockets), settings), null, null, null);
     }
 
     /** Without the list, which has its own ways to change. */
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -18,6 +18,7 @@
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.model.Word;
+import lemondrift.serve.recovery.Comeback;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import org.slf4j.Logger;
@@ -45,6 +46,8 @@
     private final Thread thread = new Thread(this::run, "owner");
     /** What others tell and are told; null where they tell nothing. */
     private Tellings tellings;
+    /** The way back after the start; null where nobody is asked. */
+    private Comeback comeback;
     private double wakeAt = Double.POSITIVE_INFINITY;
     /** What other settings would have decided; null where nobody watches. */
     private Shadow shadow;
@@ -73,6 +76,15 @@
         tellings = new Tellings(place, part, balancer, directory);
     }
 
+    /** Asks others after the start; before it, and where others are told. */
+    void recovers(Comeback its) {
+        comeback = its;
+    }
+
+    Comeback comeback() {
+        return comeback;
+    }
+
     /** Counts what these settings would have decided otherwise; before the start. */
     void watches(Settings settings, long seed) {
         shadow = new Shadow(settings, seed);
@@ -102,7 +114,12 @@
 
     /** Another proxy's datagram has come. */
     void told(int from, byte[] datagram) {
-        tellings.told(from, datagram);
+        if (comeback != null && Comeback.isFor(datagram)) {
+            comeback.heard(from, datagram);
+            put(null, () -> null);
+        } else {
+            tellings.told(from, datagram);
+        }
     }
 
     void start() {
@@ -253,6 +270,7 @@
         while (!Thread.interrupted()) {
             try {
                 double next = tellings == null ? wakeAt : Math.min(wakeAt, tellings.tellAt());
+                next = comeback == null ? next : Math.min(next, comeback.wakeAt());
                 next = shadow == null ? next : Math.min(next, shadow.wakeAt());
                 double wait = Math.min(LONGEST_WAIT, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
@@ -280,6 +298,9 @@
                     hands.decided(arrived, clock.now() - began);
                     arrived = 0;
                 }
+                if (comeback != null) {
+                    comeback.passes(clock.now(), balancer, tellings::startedAnew, hands::tell);
+                }
                 if (tellings != null) {
                     tellings.tellings(clock.now()).forEach(hands::tell);
                 }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -15,6 +15,7 @@
 import lemondrift.model.Turn;
 import lemondrift.peer.Holdings;
 import lemondrift.serve.admin.Operated;
+import lemondrift.serve.recovery.Comeback;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
 import lemondrift.tally.Tally;
@@ -96,6 +97,10 @@
                 : new Peers(config.peers(), owner);
         if (peers != null) {
             owner.tells(config.peers(), balancer.part());
+            if (config.recovery() != null) {
+                owner.recovers(new Comeback(config.recovery(), config.name(), config.peers().self(),
+                        config.peers().proxies().size(), clock.now()));
+            }
         }
     }
 
@@ -172,6 +177,11 @@
                 return tally.figures();
             }
 
+            @Override
+            public String recovery() {
+                return owner.comeback() == null ? null : owner.comeback().told(clock.now());
+            }
+
             @Override
             public boolean quiesce() {
                 if (phase == Phase.SERVING && !front.isDraining()) {
@@ -249,6 +259,9 @@
             }
         });
         owner.stop();
+        if (owner.comeback() != null) {
+            owner.comeback().close();
+        }
         worker.shutdown();
     }
 
--- a/src/main/java/lemondrift/serve/admin/Admin.java
+++ b/src/main/java/lemondrift/serve/admin/Admin.java
@@ -98,7 +98,8 @@
     private void handle(HttpServerExchange call) {
         call.setPersistent(false);
         String path = call.getRequestPath();
-        boolean reads = path.equals("/admin/health") || path.equals("/admin/stats");
+        boolean reads = path.equals("/admin/health") || path.equals("/admin/stats")
+                || path.equals("/admin/recovery");
         if (!reads && !path.equals("/admin/quiesce") && !path.equals("/admin/resume")) {
             answer(call, StatusCodes.NOT_FOUND);
             return;
@@ -115,6 +116,16 @@
             call.getResponseSender().send(json(figures));
             return;
         }
+        if (path.equals("/admin/recovery")) {
+            String told = operated == null ? null : operated.recovery();
+            if (told == null) {
+                answer(call, StatusCodes.NOT_FOUND);
+                return;
+            }
+            call.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            call.getResponseSender().send(told);
+            return;
+        }
         boolean yes = operated != null && (reads ? operated.isReady()
                 : path.equals("/admin/quiesce") ? operated.quiesce() : operated.resume());
         answer(call, yes ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
--- a/src/main/java/lemondrift/serve/admin/Operated.java
+++ b/src/main/java/lemondrift/serve/admin/Operated.java
@@ -9,6 +9,9 @@
 
     Tally.Figures figures();
 
+    /** How far it is on its way back after its start, as JSON; null where it asks nobody. */
+    String recovery();
+
     /** Sends clients away; false where it can't. */
     boolean quiesce();
 
--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -212,4 +212,85 @@
         double budget = World.RULES.fallMultiple() * World.RULES.coldFrom() * World.RULES.fallWindow();
         assertTrue(cold > 0 && cold * 0.1 <= budget, cold + " exchanges of 0.1 s for a budget of " + budget);
     }
+
+    /** One among forty that tell, of whose thirty backends it uses sixteen. */
+    private static World told(double started) {
+        World w = new World(World.settings(40, false, World.ANSWERS, false), 7);
+        w.list(true, false, IntStream.range(0, 30).mapToObj(i -> World.line(i, Listed.State.READY, started)
+                .drawn(i / 30.0, i < 16 ? 0.5 : 0)).toList());
+        w.balancer.othersHeard(true);
+        return w;
+    }
+
+    /** Danger: after an overload all was shed for the waits of that time, backends idle beside it. */
+    @Test
+    void waitsMetBeforeShedNothingWhereNobodyHasAnythingOut() {
+        World w = told(0);
+        for (int n = 0; n < 60; n++) {
+            w.now += 0.01;
+            Forward f = w.arrive(ONCE);
+            if (f != null) {
+                w.now += 1;
+                w.end(f, Outcome.TIMED_OUT);
+            }
+        }
+        for (int grade : new int[] {0, ONCE}) {
+            assertNotNull(w.arrive(grade), "grade " + grade);
+        }
+    }
+
+    /** Danger: those of whom nobody tells look idle whatever they hold. */
+    @Test
+    void noneOfWhomNobodyTellsIsDrawnWhereOneOfThePartCouldTakeIt() {
+        World w = told(0);
+        IntStream.range(0, 30).forEach(i -> w.balancer.othersHold(i, i < 16 ? 30 : 0));
+        assertNull(w.arrive(0), "all that it knows of are busy");
+        IntStream.range(0, 16).forEach(i -> w.balancer.othersHold(i, 0));
+        assertTrue(w.arrive(0).backend < 16);
+    }
+
+    /** Danger: with little room among cold ones, what is worth little would take what is worth most needs. */
+    @Test
+    void theLastRoomOfColdOnesIsForWhatIsWorthMost() {
+        int[] went = new int[4];
+        for (int seed = 0; seed < 20; seed++) {
+            World w = told(99);
+            for (int n = 0; n < 200; n++) {
+                w.now += 0.01;
+                int grade = n % 2 == 0 ? 0 : ONCE;
+                Forward f = w.arrive(grade);
+                went[grade] += f == null ? 0 : 1;
+                if (f != null) {
+                    w.now += 0.1;
+                    w.end(f, Outcome.DELIVERED, 0.5, 0);
+                    w.now -= 0.1;
+                }
+            }
+        }
+        assertTrue(went[ONCE] > 1.3 * went[0] && went[0] > 0, went[ONCE] + " and " + went[0]);
+    }
+
+    @Test
+    void whatOthersHaveFoundOpensColdOnesUntilOwnAnswersSayOtherwise() {
+        int[] sent = new int[3];
+        for (int i = 0; i < 3; i++) {
+            World w = told(99);
+            if (i > 0) {
+                w.balancer.learned(0.02, 8);
+            }
+            double work = i == 2 ? 0.8 : 0.02;
+            for (int n = 0; n < 300; n++) {
+                w.now += 0.01;
+                Forward f = w.arrive(ONCE);
+                sent[i] += f == null ? 0 : 1;
+                if (f != null) {
+                    w.now += work;
+                    w.end(f, Outcome.DELIVERED, 0.5, 0);
+                    w.now -= work;
+                }
+            }
+        }
+        assertTrue(sent[1] > 1.5 * sent[0], "taught " + sent[1] + ", untaught " + sent[0]);
+        assertTrue(sent[2] < sent[1] / 2, "taught wrongly " + sent[2] + ", rightly " + sent[1]);
+    }
 }
--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -22,15 +22,19 @@
                 Experiment.Host.PROCESSES, 0, 0, List.of());
     }
 
-    static Launcher launcher(Path peers) {
+    static Launcher launcher(Path peers, Path recovery) {
         return new Launcher(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx88m", "-Xss256k", "-cp",
                 System.getProperty("java.class.path"), "lemondrift.Main", "serve"), Path.of("."),
-                Map.of("PROXY_PEERS", peers.toString()));
+                Map.of("PROXY_PEERS", peers.toString(), "PROXY_RECOVERY", recovery.toString()));
     }
 
     static Stand start(double load, Path peers) throws Exception {
-        Stand stand = new Stand(experiment(load), 1, launcher(peers), null, line -> { });
+        return start(load, peers, Path.of("deploy/recovery.json"));
+    }
+
+    static Stand start(double load, Path peers, Path recovery) throws Exception {
+        Stand stand = new Stand(experiment(load), 1, launcher(peers, recovery), null, line -> { });
         stand.start();
         return stand;
     }
--- a/src/test/java/lemondrift/peer/HoldingsTest.java
+++ b/src/test/java/lemondrift/peer/HoldingsTest.java
@@ -142,4 +142,36 @@
             }
         }
     }
+
+    /** Danger: a backend may be at work for long on what nobody waits for any more. */
+    @Test
+    void whatIsGivenUpCountsAsOutForAWhileHereAndElsewhere() {
+        Holdings a = holdings(2, 0, 10), b = holdings(2, 1, 10);
+        a.sent(7);
+        a.givenUp(7, 1);
+        b.told(0, telling(a, 1), 1);
+        assertEquals(1, a.others(7), "it is out no more for the decisions, so it counts beside");
+        assertEquals(1, b.others(7));
+        assertTrue(a.tellAt() <= 1.02, "its end will have to be told");
+        b.told(0, telling(a, 1.02), 1.02);
+        assertEquals(0, a.others(7));
+        assertEquals(0, b.others(7));
+    }
+
+    /** Danger: what a killed one had out would look busy, and its new self not be heard, for a while. */
+    @Test
+    void whoHasStartedAnewHasNothingOutAndIsHeardAtOnce() {
+        Holdings a = holdings(2, 0, 10), b = holdings(2, 1, 10);
+        for (int i = 0; i < 9; i++) {
+            a.sent(7);
+            b.told(0, telling(a, 1 + 0.02 * i), 1 + 0.02 * i);
+        }
+        assertEquals(9, b.others(7));
+        b.startedAnew(0);
+        assertEquals(0, b.others(7));
+        Holdings next = holdings(2, 0, 10);
+        next.sent(3);
+        b.told(0, telling(next, 1.2), 1.2);
+        assertEquals(1, b.others(3));
+    }
 }
