--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -255,8 +255,9 @@
         int[] went = new int[4];
         for (int seed = 0; seed < 20; seed++) {
             World w = told(99);
-            for (int n = 0; n < 200; n++) {
-                w.now += 0.01;
+            w.balancer.learned(0.1, 8);
+            for (int n = 0; n < 30; n++) {
+                w.now += 0.1;
                 int grade = n % 2 == 0 ? 0 : ONCE;
                 Forward f = w.arrive(grade);
                 went[grade] += f == null ? 0 : 1;
