--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -18,19 +18,23 @@
     static Experiment experiment(double load) {
         Day day = new Day(Experiment.settings(PROXIES, 2, 0.08, 1.5), PROXIES, BACKENDS, 1,
                 load * BACKENDS / 0.05, 0.05, 0.5, 3, 0, 0.1, 2, 3, 1, List.of());
-        return new Experiment("small", "", day, List.of(), List.of(1L), List.of(), true,
+        return new Experiment("small", "", day, List.of(), List.of(1L), List.of(), true, true,
                 Experiment.Host.PROCESSES, 0, 0, List.of());
     }
 
-    static Launcher launcher(Path peers) {
+    static Launcher launcher(Path peers, Path recovery) {
         return new Launcher(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx88m", "-Xss256k", "-cp",
                 System.getProperty("java.class.path"), "lemondrift.Main", "serve"), Path.of("."),
-                Map.of("PROXY_PEERS", peers.toString()));
+                Map.of("PROXY_PEERS", peers.toString(), "PROXY_RECOVERY", recovery.toString()));
     }
 
     static Stand start(double load, Path peers) throws Exception {
-        Stand stand = new Stand(experiment(load), 1, launcher(peers), null, line -> { });
+        return start(load, peers, Path.of("deploy/recovery.json"));
+    }
+
+    static Stand start(double load, Path peers, Path recovery) throws Exception {
+        Stand stand = new Stand(experiment(load), 1, launcher(peers, recovery), null, line -> { });
         stand.start();
         return stand;
     }
