Silence of the others is noticed by its usual gaps; all that are told are ranked

Cause: for two windows after the last word proxies went by what the others had out when they fell silent (Holdings.heard looked at forget alone), and waits met, which count only without others, said nothing meanwhile. Change: twelve times the mean gap between two tellings without any is deafness. And of the sixteen backends that others tell of, only twelve were ranked (Selection.part), the rest kept for those that can't be used: all sixteen are now.

--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -77,7 +77,7 @@
 
     /** Of how many backends others are to tell; of none where reports can be asked for, which say more. */
     public int part() {
-        return estimate.rounds() > 0 ? 0 : Estimate.PART;
+        return estimate.rounds() > 0 ? 0 : Estimate.TOLD;
     }
 
     public void othersHeard(boolean any) {
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -23,17 +23,17 @@
         this.chance = chance;
     }
 
-    /** How many it uses: where others tell as many as they count on, else those that it hears from often. */
+    /** How many it uses: where others tell all that they tell of, else those that it hears from often. */
     private int part(double now) {
-        double heard = estimate.othersHeard ? 0 : estimate.ownRate.at(now) * estimate.memory;
+        double heard = estimate.othersHeard ? Estimate.TOLD : estimate.ownRate.at(now) * estimate.memory;
         return (int) Math.min(fleet.order.length, Math.max(Estimate.PART, heard));
     }
 
     /** Exchanges one of the part from time to time, and at once whoever can't be used. */
     private void renew(Exchange x, double now) {
         int part = part(now), leaving = -1;
-        // Danger: others tell of few beyond the part, and who takes any of the rest sends there blindly.
-        int rest = Math.min(fleet.order.length - part, estimate.othersHeard ? part / 3 : fleet.size);
+        // Danger: others tell of none beyond the part, and who takes any of the rest sends there blindly.
+        int rest = estimate.othersHeard ? 0 : fleet.order.length - part;
         if (now >= swapAt) {
             swapAt = now + chance.jitter(estimate.memory);
             leaving = estimate.othersHeard ? -1 : (int) (chance.next() * part);
--- a/src/main/java/lemondrift/peer/Holdings.java
+++ b/src/main/java/lemondrift/peer/Holdings.java
@@ -41,12 +41,17 @@
         private boolean dirty, knows;
     }
 
+    /** Of how many gaps between two tellings the mean is; how many of them, and paces, are a silence. */
+    private static final double LATELY = 32, SILENCE = 12, LEAST_SILENCE = 4;
+
     private final Peer[] peers;
     private final int self;
     private final double pace, forget;
     private final IntConsumer changed;
     private final Shares shares;
     private final Map<Integer, Integer> others = new HashMap<>(), own = new HashMap<>();
+    /** When another was last heard, and the mean time between two tellings. */
+    private double latestAt = Double.NEGATIVE_INFINITY, gap;
     private final Queue<Lingering> lingering = new ArrayDeque<>();
 
     /**
@@ -60,6 +65,7 @@
         this.self = self;
         this.pace = pace;
         this.forget = forget;
+        gap = forget;
         this.shares = shares;
         this.changed = changed;
     }
@@ -110,10 +116,12 @@
 
     /**
      * How many of the others are heard. Danger: where none is any more, what they have out counts as nothing,
-     * and who went on by that would take all backends for idle.
+     * and who went on by that would take all backends for idle; and until that is forgotten, by what they had
+     * out when they fell silent. So a silence of many times what is usual between two tellings is deafness.
      */
     public int heard(double now) {
-        return (int) Arrays.stream(peers).filter(peer -> now - peer.heardAt <= forget).count();
+        boolean deaf = now - latestAt > Math.max(LEAST_SILENCE * pace, SILENCE * gap);
+        return deaf ? 0 : (int) Arrays.stream(peers).filter(peer -> now - peer.heardAt <= forget).count();
     }
 
     /**
@@ -131,6 +139,10 @@
         if ((short) (numbered - peer.number) <= 0 && now - peer.heardAt <= forget) {
             return;
         }
+        if (latestAt > Double.NEGATIVE_INFINITY) {
+            gap += (Math.min(forget, now - latestAt) - gap) / LATELY;
+        }
+        latestAt = now;
         int[] before = peer.tags;
         peer.tags = new int[length / TAG_BYTES];
         Arrays.setAll(peer.tags, i -> (in.get() & 0xff) << 16 | (in.get() & 0xff) << 8 | in.get() & 0xff);
--- a/src/main/java/lemondrift/peer/Shares.java
+++ b/src/main/java/lemondrift/peer/Shares.java
@@ -16,9 +16,6 @@
  * hashing), and all draw the same lots, so that each knows the others' parts and none need tell of its own.
  */
 public final class Shares {
-    /** A proxy is told of some beyond its part, to which it goes on where it can't use one of the part. */
-    private static final double SPARE = 4.0 / 3;
-
     private final int proxies, width;
     private int[] tags = {};
     private Map<Integer, int[]> users = new HashMap<>();
@@ -29,7 +26,7 @@
     /** The number of proxies, and how many backends each uses. */
     public Shares(int proxies, int part) {
         this.proxies = proxies;
-        width = (int) Math.ceil(SPARE * part);
+        width = part;
     }
 
     /** The lot of a proxy for the backend of a tag, the same wherever it is drawn; from 0 to 1. */
