--- a/src/main/java/lemondrift/serve/Tellings.java
+++ b/src/main/java/lemondrift/serve/Tellings.java
@@ -12,7 +12,7 @@
 import lemondrift.peer.Holdings;
 import lemondrift.peer.Shares;
 
-/** What this proxy tells the others and hears of them, for its decisions. Owner's thread only, but for told. */
+/** What this proxy tells the others and hears of them. Owner's thread only, but for told. */
 final class Tellings {
     private record Told(int from, byte[] datagram) {}
 
