The stand knows what its backends could bear: of_bearable, and benefit borne by second

Bearable sums what fit backends can do each tenth of a second and gives it to the most benefit, second by second.

--- a/src/main/java/lemondrift/lab/Experiment.java
+++ b/src/main/java/lemondrift/lab/Experiment.java
@@ -91,6 +91,7 @@
         READ.put("least_share", f -> f.evenness.least());
         READ.put("most_share", f -> f.evenness.most());
         READ.put("crashed", f -> f.crashed);
+        READ.put("of_bearable", Figures::ofBearable);
         READ.put("back_after", Figures::backAfter);
     }
 
--- a/src/main/java/lemondrift/lab/fleet/Bank.java
+++ b/src/main/java/lemondrift/lab/fleet/Bank.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -85,6 +86,12 @@
         }
     }
 
+    /** How many seconds of work of one warm core all that are fit do in a second now. */
+    double capacity() {
+        return Arrays.stream(backends).filter(Backend::isFit).mapToDouble(each -> day.cores()
+                / each.slowness()).sum();
+    }
+
     /** Where the proxies of a segment find a backend. */
     InetSocketAddress address(int segment, int backend) {
         return addresses[segment][backend];
--- a/src/main/java/lemondrift/lab/fleet/Crowd.java
+++ b/src/main/java/lemondrift/lab/fleet/Crowd.java
@@ -321,11 +321,7 @@
         double spread = day.spread();
         int grade = chance.nextInt(day.settings().grades().size());
         wanting++;
-        judge.figures().wants++;
-        int second = judge.second(agenda.now());
-        double benefit = day.settings().grades().get(grade).benefit();
-        judge.figures().wanted += benefit;
-        judge.figures().wantedIn[second] += benefit;
+        int second = judge.wants(grade, day.settings().grades().get(grade).benefit());
         asks(new Want(grade, agenda.now(), second, day.work() * heavy.getAsDouble()
                 * Math.exp(spread * bell.sample() - spread * spread / 2), judge.figures()));
         agenda.in(gaps.sample() / (day.rate() * traffic.getAsDouble()), this::comes);
--- a/src/main/java/lemondrift/lab/fleet/Judge.java
+++ b/src/main/java/lemondrift/lab/fleet/Judge.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.stream.IntStream;
+import lemondrift.lab.world.Bearable;
 import lemondrift.lab.world.Day;
 import lemondrift.lab.world.Evenness;
 import lemondrift.lab.world.Figures;
@@ -47,6 +48,7 @@
     private Evenness evenness;
     private Figures figures;
     private double began;
+    private Bearable bearable;
     private Histogram latency;
     private String broken;
     private long ids;
@@ -69,6 +71,7 @@
         began = now();
         evenness.begins(began);
         figures = new Figures(day);
+        bearable = new Bearable(day.settings().grades(), figures.wantedIn.length);
         latency = new Histogram(LONGEST, 3);
     }
 
@@ -90,8 +93,24 @@
         return (int) Math.max(0, Math.min(figures.wantedIn.length - 1, at - began));
     }
 
+    /** A client wants something now; says in which second of the day that is. */
+    int wants(int grade, double benefit) {
+        int second = second(now());
+        figures.wants++;
+        figures.wanted += benefit;
+        figures.wantedIn[second] += benefit;
+        bearable.wants(second, grade);
+        return second;
+    }
+
+    /** The backends do the work of so many exchanges now. */
+    void bears(double exchanges) {
+        bearable.bears(second(now()), exchanges);
+    }
+
     /** The day is over, though clients may still wait. */
     Figures ends() {
+        System.arraycopy(bearable.benefit(), 0, figures.borneIn, 0, figures.borneIn.length);
         figures.evenness = evenness.measure(now());
         System.arraycopy(evenness.idleBySecond(), 0, figures.idleIn, 0,
                 Math.min(figures.idleIn.length, evenness.idleBySecond().length));
--- a/src/main/java/lemondrift/lab/fleet/Stand.java
+++ b/src/main/java/lemondrift/lab/fleet/Stand.java
@@ -43,7 +43,7 @@
  */
 public final class Stand implements AutoCloseable {
     /** Seconds of traffic before the first day counts and before another; the longest waits. */
-    private static final double WARM = 5, WARM_AGAIN = 0.5, START = 180, END = 60;
+    private static final double WARM = 5, WARM_AGAIN = 0.5, START = 180, END = 60, LOOKS = 0.1;
     /** What sets backends apart that hold as many. */
     private static final double TIE = 1e-3;
     /** Up to so many ways from proxy to backend each proxy has its own. */
@@ -254,6 +254,7 @@
             crowd.begins();
             agenda.at(start, () -> {
                 judge.begins();
+                bears(start + lasts);
                 counts(() -> used(cpu, sent, bytes));
                 wrong.forEach(each -> agenda.in(each.at(), () -> troubles.begins(each)));
                 if (outages != null) {
@@ -284,6 +285,14 @@
         return new Played(ask(judge::served), ask(judge::broken));
     }
 
+    /** Looks from time to time at what the backends can do, to the end of the day. */
+    private void bears(double end) {
+        judge.bears(bank.capacity() * LOOKS / (day.work() * troubles.heavy));
+        if (agenda.now() + LOOKS < end) {
+            agenda.in(LOOKS, () -> bears(end));
+        }
+    }
+
     /** Waits until the front has taken all proxies in again. */
     private void awaitAll() throws InterruptedException {
         for (double until = agenda.now() + END; processes != null && !ask(doors::closed).isEmpty();
--- a/src/main/java/lemondrift/lab/world/Figures.java
+++ b/src/main/java/lemondrift/lab/world/Figures.java
@@ -1,5 +1,6 @@
 package lemondrift.lab.world;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -29,8 +30,8 @@
 
     /** Benefit wanted and served by the second in which it was wanted; forwards that failed, by backend. */
     public final double[] wantedIn, servedIn;
-    /** By second, on processes: exchanges shed, and the share of backends that were fit and idle. */
-    public final double[] shedIn, idleIn;
+    /** By second, on processes: exchanges shed, the share of backends fit and idle, benefit borne. */
+    public final double[] shedIn, idleIn, borneIn;
     public final long[] failedAt;
     /** How evenly the backends were used; null while the day is played. */
     public Evenness.Measure evenness;
@@ -40,6 +41,7 @@
         servedIn = new double[wantedIn.length];
         shedIn = new double[wantedIn.length];
         idleIn = new double[wantedIn.length];
+        borneIn = new double[wantedIn.length];
         failedAt = new long[day.backends()];
     }
 
@@ -88,6 +90,12 @@
         return wanted == 0 ? 1 : served / wanted;
     }
 
+    /** Benefit answered in time, of what the backends could have borne; 1 where that is not known. */
+    public double ofBearable() {
+        double all = Arrays.stream(borneIn).sum();
+        return all == 0 ? 1 : served / all;
+    }
+
     /** The share of what clients want that they had within the contract time, 0 to 1. */
     public double inTimeShare() {
         return wants == 0 ? 1 : (double) inTime / wants;
--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -1,11 +1,15 @@
 package lemondrift.lab.fleet;
 
+import static org.junit.jupiter.api.Assertions.*;
+
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import lemondrift.lab.Experiment;
 import lemondrift.lab.world.Day;
 import lemondrift.lab.world.Fault;
+import lemondrift.lab.world.Figures;
+import lemondrift.lab.world.Trouble;
 import lemondrift.lab.world.Who;
 
 /** Small fleets of real processes, from the classes that are tested. */
@@ -47,4 +51,18 @@
     static Fault cut(Fault.Channel channel, String from, String to, double at, double lasts) {
         return new Fault(Fault.Kind.CUT, channel, Who.of(from), Who.of(to), false, at, lasts, 1, 0);
     }
+
+    /** A day with these troubles and faults, on which all rules are kept. */
+    static Figures play(Stand stand, List<Trouble> troubles, Fault... faults) throws Exception {
+        Stand.Played played = stand.play(troubles, List.of(faults), faults.length > 0 ? 5 : 2);
+        assertNull(played.broken(), played.broken());
+        return played.figures();
+    }
+
+    /** All drain and end with 0. */
+    static void ends(Stand stand) throws Exception {
+        try (Stand its = stand) {
+            assertEquals(List.of(), its.stop());
+        }
+    }
 }
--- a/src/test/java/lemondrift/lab/fleet/RecoveryProcessTest.java
+++ b/src/test/java/lemondrift/lab/fleet/RecoveryProcessTest.java
@@ -36,16 +36,13 @@
 
     @AfterAll
     static void allDrainAndEndWithZero() throws Exception {
-        try (Stand its = stand) {
-            assertEquals(List.of(), its.stop());
-        }
+        Fleets.ends(stand);
     }
 
     private static Figures play(List<Trouble> troubles, Fault... faults) throws Exception {
-        Stand.Played played = stand.play(troubles, List.of(faults), faults.length > 0 ? 5 : 2);
-        assertNull(played.broken(), played.broken());
-        assertEquals(0, played.figures().fallen, "no cold backend is pushed over by all of them together");
-        return played.figures();
+        Figures day = Fleets.play(stand, troubles, faults);
+        assertEquals(0, day.fallen, "no cold backend is pushed over by all of them together");
+        return day;
     }
 
     /** Reached at last: all that is asked for is had, and each proxy goes by what it has found itself. */
--- a/src/test/java/lemondrift/lab/fleet/StandTest.java
+++ b/src/test/java/lemondrift/lab/fleet/StandTest.java
@@ -27,15 +27,11 @@
 
     @AfterAll
     static void allDrainAndEndWithZero() throws Exception {
-        try (Stand its = stand) {
-            assertEquals(List.of(), its.stop());
-        }
+        Fleets.ends(stand);
     }
 
     private static Figures play(List<Trouble> troubles, Fault... faults) throws Exception {
-        Stand.Played played = stand.play(troubles, List.of(faults), faults.length > 0 ? 5 : 2);
-        assertNull(played.broken(), played.broken());
-        return played.figures();
+        return Fleets.play(stand, troubles, faults);
     }
 
     /** Reached at last: a day on which all that is asked for is had. Each day before that keeps the rules. */
--- a/src/test/java/lemondrift/lab/world/EvennessTest.java
+++ b/src/test/java/lemondrift/lab/world/EvennessTest.java
@@ -76,4 +76,18 @@
         assertEquals(waste / moves.length / 3, day.waste(), 1e-9);
         assertEquals(fullest / moves.length, day.fullest(), 1e-9);
     }
+
+    @Test
+    void whatCouldBeBorneGoesToMostBenefitAndNoneIsCarriedOver() {
+        var grades = lemondrift.lab.Experiment.settings(1, 1, 0, 1).grades();
+        Bearable it = new Bearable(grades, 3);
+        for (int grade = 0; grade < 3; grade++) {
+            it.wants(0, grade);
+            it.wants(1, grade);
+        }
+        it.bears(0, 1.5);
+        it.bears(1, 9);
+        it.bears(2, 9);
+        assertArrayEquals(new double[] {9 + 1.5, 13, 0}, it.benefit(), 1e-9);
+    }
 }
