How many backends others tell of is the file's: twelve; starts are told apart in tellings

Change: part in the peers' file, twelve as usual, all of which are ranked (the module counts those that it is told of, in place of a constant); four of a number's sixteen bits are of the sender's start number, so that a former self's words are dropped and a new self is heard at once. Kind 4 in place of 2: a release before is not heard, nor does it hear this one.

--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -75,9 +75,9 @@
         estimate.others[backend] = exchanges;
     }
 
-    /** Of how many backends others are to tell; of none where reports can be asked for, which say more. */
-    public int part() {
-        return estimate.rounds() > 0 ? 0 : Estimate.TOLD;
+    /** Whether others are to tell what they have out; not where reports can be asked for, which say more. */
+    public boolean isToBeTold() {
+        return estimate.rounds() == 0;
     }
 
     public void othersHeard(boolean any) {
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -7,9 +7,8 @@
 final class Estimate {
     /** Windows of memory, of the wait met lately, and over which reports fade; what asking may cost. */
     private static final double MEMORY = 8, MET = 2, FADE = 0.125, MOST_COST = 0.03;
-    /** How many are asked for reports at a time and how often, where probes are cheap; the least part, and
-     * of how many others tell. */
-    static final int ASKED = 3, ROUNDS = 4, PART = ASKED * ROUNDS, TOLD = PART * 4 / 3;
+    /** How many are asked for reports at a time and how often, where probes are cheap; the least part. */
+    static final int ASKED = 3, ROUNDS = 4, PART = ASKED * ROUNDS;
     /** Floor and cap of a service time to the usual, a quick answer's least step, outcomes to be sure by. */
     private static final double SPREAD = 2, STEP = 0.02, FEW = 8;
 
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -19,8 +19,9 @@
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
     double[] started = {}, startSeen = {};
     double meanPower = 1;
-    /** Those that are ready, in this proxy's own random order. The first ones are the part it uses. */
+    /** Those that are ready, in this proxy's own random order, its part first; of how many others tell. */
     int[] order = {};
+    int told;
 
     Fleet(Settings s, Chance chance) {
         stated = s;
@@ -50,6 +51,7 @@
                 .distinct().toArray();
         meanPower = Arrays.stream(order).mapToDouble(i -> line[i].size()).average().orElse(1);
         IntStream.range(kept, order.length).forEach(j -> swap(j, (int) (chance.next() * (j + 1))));
+        told = (int) Arrays.stream(order).filter(i -> line[i].used() > 0).count();
         home();
     }
 
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -25,8 +25,8 @@
 
     /** How many it uses: where others tell all that they tell of, else those that it hears from often. */
     private int part(double now) {
-        double heard = estimate.othersHeard ? Estimate.TOLD : estimate.ownRate.at(now) * estimate.memory;
-        return (int) Math.min(fleet.order.length, Math.max(Estimate.PART, heard));
+        return estimate.othersHeard && fleet.told > 0 ? fleet.told : (int) Math.min(fleet.order.length,
+                Math.max(Estimate.PART, estimate.ownRate.at(now) * estimate.memory));
     }
 
     /** Exchanges one of the part from time to time, and at once whoever can't be used. */
--- a/src/main/java/lemondrift/lab/Module.java
+++ b/src/main/java/lemondrift/lab/Module.java
@@ -20,6 +20,7 @@
 public final class Module implements Decider {
     /** The least time between two tellings, and when what is told is forgotten, in windows. */
     private static final double PACE = 0.02, FORGET = 2;
+    private static final int PART = 12;
 
     private final Balancer balancer;
     private final int self;
@@ -38,9 +39,9 @@
     public Module(Settings settings, long seed, int self, boolean tells) {
         balancer = new Balancer(settings, seed);
         this.self = self;
-        if (tells && balancer.part() > 0) {
-            shares = new Shares(settings.balancers(), balancer.part());
-            holdings = new Holdings(settings.balancers(), self, PACE * settings.window(),
+        if (tells && balancer.isToBeTold()) {
+            shares = new Shares(settings.balancers(), PART);
+            holdings = new Holdings(settings.balancers(), self, 1 + self, PACE * settings.window(),
                     FORGET * settings.window(), shares,
                     tag -> balancer.othersHold(tag, holdings.others(tag)));
         }
@@ -148,9 +149,10 @@
         if (datagram[0] != Hello.KIND) {
             holdings.told(from, datagram, now);
         } else if (recovery != null) {
-            Recovery.Step step = recovery.heard(from, Hello.of(datagram), now);
+            Hello hello = Hello.of(datagram);
+            Recovery.Step step = recovery.heard(from, hello, now);
             if (step.anew()) {
-                holdings.startedAnew(from);
+                holdings.startedAnew(from, hello.start());
             }
             says(step, now);
         }
--- a/src/main/java/lemondrift/peer/Holdings.java
+++ b/src/main/java/lemondrift/peer/Holdings.java
@@ -20,7 +20,12 @@
  */
 public final class Holdings {
     public static final int MOST_BYTES = 256;
-    private static final byte KIND = 2;
+    private static final byte KIND = 4;
+    /** Of a number the low bits count, and the others are of the sender's start number. */
+    private static final int COUNT_BITS = 12, COUNTS = 1 << COUNT_BITS, STARTS = 16,
+            NONE = -1;
+    /** A former self, and how far one has counted, are remembered for so many times the span of a telling. */
+    private static final double REMEMBERED = 2;
     private static final int HEAD = 3, TAG_BYTES = 3, TAG_BITS = 24, MOST = (MOST_BYTES - HEAD) / TAG_BYTES;
     /** One that was given up counts as out for this share of the same span. */
     private static final double LINGER = 0.125;
@@ -35,7 +40,7 @@
 
     /** One other proxy as last told, and what it was told last. */
     private static final class Peer {
-        private short number, told;
+        private int number, told, start = NONE, former = NONE;
         private int[] tags = {};
         private double heardAt = Double.NEGATIVE_INFINITY, toldAt = Double.NEGATIVE_INFINITY;
         private boolean dirty, knows;
@@ -45,7 +50,7 @@
     private static final double LATELY = 32, SILENCE = 12, LEAST_SILENCE = 4;
 
     private final Peer[] peers;
-    private final int self;
+    private final int self, start;
     private final double pace, forget;
     private final IntConsumer changed;
     private final Shares shares;
@@ -55,14 +60,16 @@
     private final Queue<Lingering> lingering = new ArrayDeque<>();
 
     /**
-     * The number of proxies and which of them this one is, the least seconds between two tellings to one, the
-     * seconds after which what one has told is forgotten, who uses which backends, and who hears of each
-     * tag of which the number out at the others has changed.
+     * The number of proxies, which of them this one is and its start number, the least seconds between two
+     * tellings to one, the seconds after which what one has told is forgotten, who uses which backends, and
+     * who hears of each tag of which the number out at the others has changed.
      */
-    public Holdings(int proxies, int self, double pace, double forget, Shares shares, IntConsumer changed) {
+    public Holdings(int proxies, int self, long start, double pace, double forget, Shares shares,
+            IntConsumer changed) {
         peers = new Peer[proxies];
         Arrays.setAll(peers, i -> new Peer());
         this.self = self;
+        this.start = (int) (start % STARTS);
         this.pace = pace;
         this.forget = forget;
         gap = forget;
@@ -125,8 +132,9 @@
     }
 
     /**
-     * What another has told. Danger: datagrams come late, out of order, twice, cut or from a new start that
-     * counts from the beginning again; what can't be read or is older than what is held changes nothing.
+     * What another has told. Danger: datagrams come late, out of order, twice, cut, from a new start that
+     * counts from the beginning again, or from a former self after that; what can't be read or is older than
+     * what is held changes nothing.
      */
     public void told(int from, byte[] datagram, double now) {
         Peer peer = from < 0 || from >= peers.length || from == self ? null : peers[from];
@@ -135,10 +143,13 @@
             return;
         }
         ByteBuffer in = ByteBuffer.wrap(datagram, 1, datagram.length - 1);
-        short numbered = in.getShort();
-        if ((short) (numbered - peer.number) <= 0 && now - peer.heardAt <= forget) {
+        int numbered = in.getShort() & 0xffff, start = numbered >> COUNT_BITS;
+        boolean known = now - peer.heardAt <= REMEMBERED * forget;
+        if (known && (start == peer.former || start == peer.start && !isAfter(numbered, peer.number))) {
             return;
         }
+        peer.former = known && start != peer.start ? peer.start : peer.former;
+        peer.start = start;
         if (latestAt > Double.NEGATIVE_INFINITY) {
             gap += (Math.min(forget, now - latestAt) - gap) / LATELY;
         }
@@ -152,14 +163,19 @@
     }
 
     /**
-     * Another proxy has started anew. Danger: it counts its tellings from the beginning again, and what its
-     * former self had out would look busy until it is forgotten.
+     * Another proxy has started anew, under a start number. Danger: what its former self had out would look
+     * busy until it is forgotten, and what that has told and still comes would be taken for the new one's.
      */
-    public void startedAnew(int proxy) {
-        int[] before = peers[proxy].tags;
-        peers[proxy].tags = new int[0];
-        peers[proxy].heardAt = Double.NEGATIVE_INFINITY;
-        replace(before, peers[proxy].tags);
+    public void startedAnew(int proxy, long start) {
+        Peer peer = peers[proxy];
+        int[] before = peer.tags;
+        peer.tags = new int[0];
+        // Danger: two starts may share the bits that a telling has; then the new one must be heard.
+        boolean apart = peer.start != (int) (start % STARTS);
+        peer.former = apart ? peer.start : NONE;
+        peer.start = apart ? (int) (start % STARTS) : NONE;
+        peer.number = 0;
+        replace(before, peer.tags);
     }
 
     /** Danger: what a proxy had out that was killed would keep its backends looking busy for good. */
@@ -174,6 +190,12 @@
         }
     }
 
+    /** Whether one number of a start comes after another, as they begin again after the last. */
+    private static boolean isAfter(int one, int other) {
+        int ahead = one - other & COUNTS - 1;
+        return ahead > 0 && ahead < COUNTS / 2;
+    }
+
     private void replace(int[] before, int[] after) {
         Arrays.stream(before).forEach(tag -> others.computeIfPresent(tag, (t, n) -> n > 1 ? n - 1 : null));
         Arrays.stream(after).forEach(tag -> others.merge(tag, 1, Integer::sum));
@@ -209,7 +231,7 @@
                 .flatMapToInt(each -> IntStream.generate(each::getKey).limit(each.getValue()))
                 .limit(MOST).toArray();
         ByteBuffer out = ByteBuffer.allocate(HEAD + tags.length * TAG_BYTES);
-        out.put(KIND).putShort(++peers[to].told);
+        out.put(KIND).putShort((short) (start << COUNT_BITS | ++peers[to].told & COUNTS - 1));
         for (int tag : tags) {
             out.put((byte) (tag >> 16)).put((byte) (tag >> 8)).put((byte) tag);
         }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -72,13 +72,14 @@
     }
 
     /** Tells the other proxies what is out here and hears it of them; before the start. */
-    void tells(Peers.Place place, int part) {
-        tellings = new Tellings(place, part, balancer, directory);
+    void tells(Peers.Place place) {
+        tellings = new Tellings(place, System.currentTimeMillis(), balancer, directory);
     }
 
-    /** Asks others after the start; before it, and where others are told. */
-    void recovers(Comeback its) {
+    /** The same, and asks others after the start. */
+    void tells(Peers.Place place, Comeback its) {
         comeback = its;
+        tellings = new Tellings(place, its.start(), balancer, directory);
     }
 
     Comeback comeback() {
--- a/src/main/java/lemondrift/serve/Peers.java
+++ b/src/main/java/lemondrift/serve/Peers.java
@@ -23,11 +23,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
 
     /**
-     * Where this proxy hears the others, the address of each by its number and its own number, and the
-     * file's two spans.
+     * Where this proxy hears the others, the address of each by its number and its own number, the file's two
+     * spans, and how many backends each uses.
      */
     record Place(InetSocketAddress listen, List<InetSocketAddress> proxies, int self, double pace,
-            double forget) {}
+            double forget, int part) {}
 
     private final Place place;
     private final Owner owner;
--- a/src/main/java/lemondrift/serve/PeersFile.java
+++ b/src/main/java/lemondrift/serve/PeersFile.java
@@ -16,28 +16,32 @@
 final class PeersFile {
     /** The pace of tellings and when a silent one is forgotten, as shares of the shortest contract time. */
     private static final double PACE = 0.02, FORGET = 2;
+    private static final int PART = 12;
 
     private PeersFile() {}
 
     /** Null where the configuration forbids messages between proxies or names no addresses for them. */
     static Peers.Place read(Path file, Settings settings, String config) throws IOException {
         double pace = PACE, forget = FORGET;
+        int part = PART;
         for (Map.Entry<String, JsonElement> each : DoorFile.object(file).entrySet()) {
             try {
                 switch (each.getKey()) {
                     case "pace" -> pace = DoorFile.seconds(each.getValue(), 0.001, 1);
                     case "forget" -> forget = DoorFile.seconds(each.getValue(), 0.1, 100);
-                    default -> throw new BadInput("not a key; there are pace, forget");
+                    case "part" -> part = (int) DoorFile.seconds(each.getValue(), 1, 1000);
+                    default -> throw new BadInput("not a key; there are pace, forget, part");
                 }
             } catch (BadInput | IllegalStateException | UnsupportedOperationException e) {
                 throw new BadInput(file + ": " + each.getKey() + ": " + e.getMessage());
             }
         }
         double window = settings.grades().stream().mapToDouble(g -> g.contractTime()).min().orElse(1);
-        return place(JsonParser.parseString(config).getAsJsonObject(), pace * window, forget * window);
+        return place(JsonParser.parseString(config).getAsJsonObject(), pace * window, forget * window,
+                part);
     }
 
-    private static Peers.Place place(JsonObject config, double pace, double forget) {
+    private static Peers.Place place(JsonObject config, double pace, double forget, int part) {
         JsonObject settings = config.has("settings") ? config.getAsJsonObject("settings") : new JsonObject();
         boolean allowed = settings.has("limits") && settings.getAsJsonObject("limits").has("mayTell")
                 && settings.getAsJsonObject("limits").get("mayTell").getAsBoolean();
@@ -50,6 +54,6 @@
         }
         int self = settings.get("slotNo").getAsInt();
         return self < 0 || self >= proxies.size() ? null : new Peers.Place(Config.address("peer_listen",
-                config.get("peer_listen").getAsString()), proxies, self, pace, forget);
+                config.get("peer_listen").getAsString()), proxies, self, pace, forget, part);
     }
 }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -93,13 +93,14 @@
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
                 tally);
         known = config.known();
-        peers = config.peers() == null || dial != null || balancer.part() == 0 ? null
+        peers = config.peers() == null || dial != null || !balancer.isToBeTold() ? null
                 : new Peers(config.peers(), owner);
         if (peers != null) {
-            owner.tells(config.peers(), balancer.part());
-            if (config.recovery() != null) {
-                owner.recovers(new Comeback(config.recovery(), config.name(), config.peers().self(),
-                        config.peers().proxies().size(), clock.now()));
+            if (config.recovery() == null) {
+                owner.tells(config.peers());
+            } else {
+                owner.tells(config.peers(), new Comeback(config.recovery(), config.name(),
+                        config.peers().self(), config.peers().proxies().size(), clock.now()));
             }
         }
     }
--- a/src/main/java/lemondrift/serve/Tellings.java
+++ b/src/main/java/lemondrift/serve/Tellings.java
@@ -27,21 +27,20 @@
     /** By index. */
     private int[] tags = {};
 
-    Tellings(Peers.Place place, int part, Balancer balancer, Directory directory) {
+    Tellings(Peers.Place place, long start, Balancer balancer, Directory directory) {
         this.balancer = balancer;
         this.directory = directory;
         self = place.self();
-        shares = new Shares(place.proxies().size(), part);
-        holdings = new Holdings(place.proxies().size(), self, place.pace(), place.forget(), shares, tag -> {
-            Integer backend = byTag.get(tag);
-            if (backend != null) {
-                balancer.othersHold(backend, holdings().others(tag));
-            }
-        });
+        shares = new Shares(place.proxies().size(), place.part());
+        holdings = new Holdings(place.proxies().size(), self, start, place.pace(), place.forget(), shares,
+                this::changed);
     }
 
-    private Holdings holdings() {
-        return holdings;
+    private void changed(int tag) {
+        Integer backend = byTag.get(tag);
+        if (backend != null) {
+            balancer.othersHold(backend, holdings.others(tag));
+        }
     }
 
     /** Danger: the owner is not woken, as what others have out matters only when it decides. Any thread. */
@@ -89,8 +88,8 @@
     }
 
     /** Another proxy has started anew: what its former self had out is over. */
-    void startedAnew(int proxy) {
-        holdings.startedAnew(proxy);
+    void startedAnew(int proxy, long start) {
+        holdings.startedAnew(proxy, start);
     }
 
     double tellAt() {
--- a/src/main/java/lemondrift/serve/recovery/Comeback.java
+++ b/src/main/java/lemondrift/serve/recovery/Comeback.java
@@ -6,7 +6,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import lemondrift.decide.Balancer;
 import lemondrift.peer.Holdings;
 import lemondrift.recovery.Hello;
@@ -23,6 +22,11 @@
     /** How it asks, where it keeps snapshots or null, and every how many seconds it writes one. */
     public record Plan(Pace pace, Path folder, double period) {}
 
+    /** Who is to know that another proxy has started anew. */
+    public interface Anew {
+        void startedAnew(int proxy, long start);
+    }
+
     private record Said(int from, Hello hello) {}
 
     private final Queue<Said> said = new ConcurrentLinkedQueue<>();
@@ -70,12 +74,16 @@
         }
     }
 
+    public long start() {
+        return recovery.start();
+    }
+
     public double wakeAt() {
         return recovery.wakeAt();
     }
 
     /** Follows what has come, learns for the decisions, and says what is due to others. */
-    public void passes(double now, Balancer balancer, IntConsumer anew, Consumer<Holdings.Telling> tell) {
+    public void passes(double now, Balancer balancer, Anew anew, Consumer<Holdings.Telling> tell) {
         boolean settled = recovery.isSettled();
         if (!settled) {
             double[] work = balancer.work();
@@ -84,7 +92,7 @@
         for (Said next = said.poll(); next != null; next = said.poll()) {
             Recovery.Step step = recovery.heard(next.from, next.hello, now);
             if (step.anew()) {
-                anew.accept(next.from);
+                anew.startedAnew(next.from, next.hello.start());
             }
             follows(step, now, tell);
         }
--- a/src/test/java/lemondrift/ThinProxyTest.java
+++ b/src/test/java/lemondrift/ThinProxyTest.java
@@ -76,10 +76,10 @@
     @Test
     void whereOthersTellOnlyThoseDrawnByLotAreUsedAndTheyAgainAfterAList() {
         World w = new World(World.settings(100, false, World.ANSWERS, false), 7);
-        assertEquals(16, w.balancer.part(), "where none is asked others are to tell");
-        assertEquals(0, World.of(2).balancer.part(), "where reports can be asked for nobody need tell");
+        assertTrue(w.balancer.isToBeTold(), "where none is asked others are to tell");
+        assertFalse(World.of(2).balancer.isToBeTold(), "where reports can be asked for nobody need tell");
         List<Listed> lines = IntStream.range(0, 60).mapToObj(i -> World.line(i, Listed.State.READY, 0)
-                .drawn((i * 37 % 60) / 60.0, 1)).toList();
+                .drawn((i * 37 % 60) / 60.0, i * 37 % 60 < 16 ? 0.2 : 0)).toList();
         w.list(true, false, lines);
         w.balancer.othersHeard(true);
         for (int round = 0; round < 3; round++) {
--- a/src/test/java/lemondrift/peer/HoldingsTest.java
+++ b/src/test/java/lemondrift/peer/HoldingsTest.java
@@ -17,9 +17,13 @@
 
     /** One of a few that all use all backends. */
     private static Holdings holdings(int proxies, int self, int backends) {
+        return new Holdings(proxies, self, 1, 0.01, 0.1, all(proxies, backends), tag -> { });
+    }
+
+    private static Shares all(int proxies, int backends) {
         Shares shares = new Shares(proxies, backends);
         shares.listed(IntStream.range(0, backends).toArray());
-        return new Holdings(proxies, self, 0.01, 0.1, shares, tag -> { });
+        return shares;
     }
 
     /** The only telling that is due now. */
@@ -40,7 +44,7 @@
         b.told(0, last, 1.03);
         b.told(0, last, 1.04);
         b.told(0, old, 1.04);
-        b.told(0, new byte[] {2, 2}, 1.04);
+        b.told(0, new byte[] {4, 2}, 1.04);
         b.told(0, new byte[] {9, 0, 99, 0, 0, 7}, 1.04);
         b.told(0, Arrays.copyOf(last, last.length - 1), 1.04);
         b.told(5, last, 1.04);
@@ -89,7 +93,7 @@
             Shares shares = new Shares(proxies, 16);
             shares.listed(tags);
             for (int tag : tags) {
-                Holdings one = new Holdings(proxies, 3, 0.01, 0.1, shares, t -> { });
+                Holdings one = new Holdings(proxies, 3, 1, 0.01, 0.1, shares, t -> { });
                 one.sent(tag);
                 int[] to = one.tellings(1).stream().mapToInt(Holdings.Telling::to).toArray();
                 int[] use = IntStream.range(0, proxies).filter(p -> p != 3 && Arrays.stream(tags)
@@ -167,12 +171,18 @@
             b.told(0, telling(a, 1 + 0.02 * i), 1 + 0.02 * i);
         }
         assertEquals(9, b.others(7));
-        b.startedAnew(0);
+        a.sent(7);
+        byte[] late = telling(a, 1.19);
+        b.startedAnew(0, 2);
         assertEquals(0, b.others(7));
-        Holdings next = holdings(2, 0, 10);
+        Holdings next = new Holdings(2, 0, 2, 0.01, 0.1, all(2, 10), tag -> { });
         next.sent(3);
+        b.told(0, late, 1.2);
+        assertEquals(0, b.others(7), "its former self's word comes late");
         b.told(0, telling(next, 1.2), 1.2);
+        b.told(0, late, 1.21);
         assertEquals(1, b.others(3));
+        assertEquals(0, b.others(7));
     }
 
     /** Danger: until it is forgotten, all would go by what the others had out when they fell silent. */
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -66,12 +66,12 @@
     @Test
     void theOthersAreToldWhatIsOut() throws Exception {
         InetSocketAddress any = InetSocketAddress.createUnresolved("p", 1);
-        owner.tells(new Peers.Place(null, List.of(any, any), 1, 0, 1), 12);
+        owner.tells(new Peers.Place(null, List.of(any, any), 1, 0, 1, 12));
         owner.start();
         list("active");
         Forward f = arrive(1);
         Shares shares = new Shares(2, 12);
-        Holdings other = new Holdings(2, 0, 0, 1, shares, tag -> { });
+        Holdings other = new Holdings(2, 0, 1, 0, 1, shares, tag -> { });
         other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
         while (other.others(Holdings.tag("s-1")) == 0) {
             other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
