--- a/src/main/java/lemondrift/serve/Rehearsal.java
+++ b/src/main/java/lemondrift/serve/Rehearsal.java
@@ -28,7 +28,7 @@
  */
 final class Rehearsal {
     private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
-    private static final int CLIENTS = 6, BACKENDS = 4, EXCHANGES = 400;
+    private static final int CLIENTS = 6, BACKENDS = 4, EXCHANGES = 120;
     /** Seconds that it may take at the most, and that the last answers may. */
     private static final double MOST = 1.5, LAST = 0.5;
 
