A line of the list that can't be read costs that line alone, in a whole list too

Lines at fault: Directory.listed passed the line over, so that its backend was in no line, and Fleet.listed takes whatever a whole list does not name for not ready. Directory.line had written half of the line into its entry by then, too. Change: a backend whose line can be told by its id is told again as it was last read; a line is read whole before any of it holds.

--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -24,6 +24,8 @@
         private final String id;
         private InetSocketAddress address;
         private boolean gone;
+        /** The last that was read of it. */
+        private Listed line;
         private int held, location, cell;
 
         private Entry(int index, String id) {
@@ -53,6 +55,11 @@
         return (int) entries.stream().filter(e -> !e.gone).count();
     }
 
+    /** How often something speaks of any of them. */
+    int held() {
+        return entries.stream().mapToInt(e -> e.held).sum();
+    }
+
     /** Something speaks of the backend by its index, which stands for it until it is let go. */
     void hold(int backend) {
         entries.get(backend).held++;
@@ -74,6 +81,12 @@
                 named.add(line(member.getAsJsonObject(), lines));
             } catch (RuntimeException e) {
                 LOG.warn("a line of the list is passed over: {}: {}", member, e.toString());
+                // Danger: in a whole list its backend would be taken for one that has gone.
+                Entry known = known(member);
+                if (known != null && !known.gone) {
+                    named.add(known);
+                    lines.add(known.line.again());
+                }
             }
         }
         if (whole) {
@@ -82,6 +95,12 @@
         return lines;
     }
 
+    /** Whom a line is about; null where it does not tell. */
+    private Entry known(JsonElement member) {
+        return member instanceof JsonObject line && line.get("id") instanceof JsonPrimitive id
+                ? byId.get(id.getAsString()) : null;
+    }
+
     private Entry line(JsonObject member, List<Listed> lines) {
         String id = member.get("id").getAsString();
         Listed.State state = switch (member.get("phase").getAsString()) {
@@ -93,6 +112,9 @@
         InetSocketAddress address = state == Listed.State.GONE && !member.has("host_port") ? null
                 : Config.address("host_port", member.get("host_port").getAsString());
         double started = number(member, "up_since_ms").doubleValue() / 1000;
+        String locality = member.has("locality") ? member.get("locality").getAsString() : null;
+        Integer cell = member.has("cell") ? number(member, "cell").intValue() : null;
+        // Danger: what can't be read from here on would be followed by half.
         Entry entry = byId.get(id);
         boolean fresh = entry == null;
         if (fresh) {
@@ -106,10 +128,10 @@
         }
         entry.gone = state == Listed.State.GONE;
         entry.address = address != null ? address : entry.address;
-        entry.location = !member.has("locality") ? entry.location
-                : Math.max(0, locations.indexOf(member.get("locality").getAsString()));
-        entry.cell = member.has("cell") ? number(member, "cell").intValue() : entry.cell;
-        lines.add(new Listed(entry.index, fresh, entry.location, entry.cell, state, started, size(member)));
+        entry.location = locality == null ? entry.location : Math.max(0, locations.indexOf(locality));
+        entry.cell = cell == null ? entry.cell : cell;
+        entry.line = new Listed(entry.index, fresh, entry.location, entry.cell, state, started, size(member));
+        lines.add(entry.line);
         return entry;
     }
 
