Crossings: clients that left, late connections, drains, retunes and pauses, each forced and mended

Each from reading, then forced over loopback (CrossingsTest, StandstillTest).

Where no forward may be called off, Expiry.cancelAll calls off none, and Call.connected sent on whatever the connection came up for: the backend saw GET /. The same on a pooled connection when the client left before the owner had decided. Change: Call.write asks before the first byte, and before it goes on after a pause, whether anybody waits (Front.awaits); if not the forward ends as never sent (Answer.UNSENT, MOOT), blamed on nobody. One moment of decision, on the thread that sees both events. 2. In the middle of a long body with calling off forbidden the forward stayed out for good: InHand[visitors=0, exchanges=1, calls=1]. Upload.release now ends what has not gone whole. 3. Front.watchForClose stopped reading at the first byte sent ahead, or did not begin where Undertow had read ahead: the client's end was seen after the contract time (60 s in the test). It reads on into one buffer. 4. A connection that came up after the contract time, with the I/O thread held up, still sent (seen by the backend): isLate in Call.write. 5. A connection that came up after its backend had been told to drain still sent: Links.isRetired in Call.send; the exchange goes elsewhere. 6. Dial.open that throws left the call's timers behind, and its forward ended twice (calls=1 after the answer): Call.connect ends it once. 7. Proxy.drain looked from its own thread at two volatile fields that know whole requests only: a request that waited unread was closed on (null for an answer), and one half come too. Now the I/O thread looks (accept queue, every connection by the door's state) and closes in the same step; who has had the answer that closes has a moment to go; what is taken in a drain has its answer before the drain's last moment, which follows from the settings' longest expiry and that of a configuration before while it can matter; what is open then is answered. 8. Owner.retune gave a dropped class's index out again looking at its own open exchanges only; one read by the front under the older statement came in as the new class (2 indexes where there must be 3). The front now says what it goes by and what it holds. 9. A request that waited in its socket while the process was stopped was sent on although its client had gone or its time had passed: the door counts a pause off (Door.unreadSince), and its client is looked at before it is offered.

Ruled out: an exchange in Intake or in Selection's wait whose client has left (Owner.left comes first, Expiry gives up what is over); a next forward after the client left (Expiry.again asks).

--- a/src/main/java/lemondrift/door/Door.java
+++ b/src/main/java/lemondrift/door/Door.java
@@ -31,6 +31,8 @@
     private static final double MOST_EXPLORING = 2;
     /** Lateness of the sweep, in sweeps, from which the process is taken to have stood still. */
     private static final double PAUSE = 2;
+    /** The part of a sweep in which what has waited through such a pause is read. */
+    private static final double CATCHING_UP = 4;
     /** How often a request in a row may be turned away before the connection closes with the answer. */
     private static final int TURNED_AWAY = 6;
     /** Indexes beyond the last place: so many, and one for each so many places. */
@@ -62,6 +64,8 @@
      * When something was told last, and the time for which the process stood still, which counts for nobody.
      */
     private double toldAt = Double.NEGATIVE_INFINITY, stoodStill;
+    /** Since when what is read may have waited, up to a time. */
+    private double wentStill, caughtUp = Double.NEGATIVE_INFINITY;
     private double drainBegan = Double.POSITIVE_INFINITY, drainUntil;
 
     /** The seed decides which connections are kept to learn from. */
@@ -103,11 +107,22 @@
     private double time(double now) {
         if (now - toldAt > PAUSE * bounds.sweep() && toldAt > Double.NEGATIVE_INFINITY) {
             stoodStill += now - toldAt - bounds.sweep();
+            wentStill = toldAt;
+            caughtUp = now + bounds.sweep() / CATCHING_UP;
         }
         toldAt = Math.max(toldAt, now);
         return toldAt - stoodStill;
     }
 
+    /**
+     * Since when a request that is read now may have waited unread, which is now unless the process has just
+     * stood still. Danger: its client's time has passed all the same.
+     */
+    public double unreadSince(double now) {
+        time(now);
+        return now < caughtUp ? wentStill : now;
+    }
+
     private void enter(int i, State to, double t) {
         orders.get(state[i]).remove(i);
         orders.get(to).add(i);
@@ -424,6 +439,23 @@
         Arrays.fill(drainAt, Double.POSITIVE_INFINITY);
     }
 
+    /**
+     * Whether the drain has left nobody to whom an answer is owed. Who has had the one that closes has a
+     * moment to go. Danger: with bytes unread the end of the process would reset the connection, and an
+     * answer that is still on its way be destroyed.
+     */
+    public boolean isDrained(double now) {
+        double t = time(now);
+        for (int i = 0; i < state.length; i++) {
+            boolean answered = ending[i] == Reason.DRAIN && t - since[i] >= bounds.linger()
+                    && (state[i] == State.QUIET || state[i] == State.HEAD);
+            if (state[i] != State.FREE && !answered) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** How many connections are in a state. */
     public int in(State each) {
         return orders.get(each).size();
--- a/src/main/java/lemondrift/serve/Answer.java
+++ b/src/main/java/lemondrift/serve/Answer.java
@@ -9,6 +9,13 @@
 record Answer(int status, HeaderMap headers, byte[] body, boolean sent, boolean timedOut, Call rest) {
     static final int OK = 200;
 
+    /** Given up before all of its request was sent, through no fault of its backend. */
+    static final int UNSENT = -1;
+
+    static Answer unsent() {
+        return new Answer(UNSENT, new HeaderMap(), new byte[0], false, false, null);
+    }
+
     static Answer broken(boolean sent, boolean timedOut) {
         return new Answer(0, new HeaderMap(), new byte[0], sent, timedOut, null);
     }
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import lemondrift.model.Forward;
 import lemondrift.model.Outcome;
 import lemondrift.tally.Tally;
@@ -50,13 +51,16 @@
     private final ByteBufferPool buffers;
     private final Owner owner;
     private final Tally tally;
+    private final Predicate<Taken> awaited;
     private final Links.Budget budget;
     private final XnioExecutor.Key sweep;
     private final Map<Integer, Links> links = new HashMap<>();
     private final Map<Forward, Call> calls = new HashMap<>();
 
+    /** Awaited says whether the client of an exchange is there and has no answer yet. */
     Backends(Config config, Clock clock, XnioIoThread io, Dial dial, ByteBufferPool buffers, Owner owner,
-            Tally tally) {
+            Tally tally, Predicate<Taken> awaited) {
+        this.awaited = awaited;
         this.config = config;
         this.clock = clock;
         this.io = io;
@@ -91,7 +95,8 @@
         long milliseconds = Math.round((upload == null ? f.timeOut : within) * 1000);
         Call[] made = new Call[1];
         Call call = Call.passing(links(f.backend, to), request(taken, milliseconds), MOST_BODY,
-                config.connectTimeout(), within, PATIENCE * within, tally::dispatched, answer -> {
+                config.connectTimeout(), within, PATIENCE * within, () -> awaited.test(taken),
+                tally::dispatched, answer -> {
                     calls.remove(f);
                     // The time that an upload took is its client's, not the backend's.
                     double began = upload == null ? f.sent : made[0].began();
@@ -152,6 +157,11 @@
         }
     }
 
+    /** How many forwards are out. */
+    int calls() {
+        return calls.size();
+    }
+
     void letGo(int backend) {
         Links known = links.remove(backend);
         if (known != null) {
@@ -191,6 +201,7 @@
     static Outcome outcome(Answer answer) {
         boolean neverRan = "1".equals(answer.headers().getFirst(NEVER_RAN));
         return switch (answer.status()) {
+            case Answer.UNSENT -> Outcome.MOOT;
             case 0 -> !answer.sent() ? Outcome.CONNECT_FAILED
                     : answer.timedOut() ? Outcome.TIMED_OUT : Outcome.RESET;
             case Answer.OK -> Outcome.DELIVERED;
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -5,7 +5,10 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -23,6 +26,8 @@
         }
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(Call.class);
+
     private final Links links;
     private final ByteBuffer[] request;
     private final Upload upload;
@@ -31,6 +36,8 @@
     private final AnswerReader reader;
     private final Consumer<Answer> end;
     private final Runnable written;
+    /** Whether anybody waits for its answer. */
+    private BooleanSupplier wanted = () -> true;
     private Links.Link link;
     private IoFuture<StreamConnection> connect;
     private XnioExecutor.Key connectTimer, timer, passTimer;
@@ -38,7 +45,7 @@
     /** What has come of an answer that is passed on, and who is to hear of more. */
     private PooledByteBuffer passing;
     private Runnable more;
-    private double within, endless, began;
+    private double within = Double.POSITIVE_INFINITY, endless, began;
 
     private Call(Links links, Request request, int most, boolean mayPass, Runnable written,
             Consumer<Answer> end) {
@@ -62,12 +69,14 @@
     /**
      * One whose answer may be passed on: when it is too long to be held, or nobody can say how long it will
      * be and it has lasted so many seconds. Written hears that its last byte is with the system; where the
-     * request is an upload that takes its time, both spans count from then on.
+     * request is an upload that takes its time, both spans count from then on. Nothing more of the request is
+     * sent once it is not wanted or its time is over.
      */
     static Call passing(Links links, Request request, int most, double connectTimeout, double within,
-            double endless, Runnable written, Consumer<Answer> end) {
+            double endless, BooleanSupplier wanted, Runnable written, Consumer<Answer> end) {
         Call call = new Call(links, request, most, true, written, end);
         call.within = within;
+        call.wanted = wanted;
         call.endless = endless;
         return make(links, call, connectTimeout, within);
     }
@@ -97,12 +106,22 @@
         if (link != null) {
             send();
         } else {
+            connect();
+        }
+    }
+
+    /** Danger: whoever fails here and is told so would end once more with the timers. */
+    private void connect() {
+        try {
             connect = links.dial.open(links.address, this::connected);
             connect.addNotifier((future, nothing) -> {
                 if (future.getStatus() == IoFuture.Status.FAILED) {
                     broken(false);
                 }
             }, null);
+        } catch (RuntimeException e) {
+            LOG.error("no connection begun", e);
+            unsent();
         }
     }
 
@@ -117,6 +136,11 @@
     }
 
     private void send() {
+        // Danger: its backend may have been told to drain for long while the connection came up.
+        if (links.isRetired()) {
+            unsent();
+            return;
+        }
         link.connection.getSourceChannel().setReadListener(source -> read());
         link.connection.getSourceChannel().resumeReads();
         link.connection.getSinkChannel().setWriteListener(sink -> write());
@@ -124,9 +148,15 @@
     }
 
     private void write() {
+        // Danger: its client may have left, or its time have passed, while it waited for a connection or for
+        // a backend that takes nothing. What has not come whole has not begun there.
+        if (!done && !isHanded() && (!wanted.getAsBoolean() || isLate())) {
+            unsent();
+            return;
+        }
         var sink = link.connection.getSinkChannel();
         try {
-            while (!done && request[1].remaining() + request[0].remaining() > 0) {
+            while (!done && !isHanded()) {
                 if (sink.write(request) == 0) {
                     sink.resumeWrites();
                     return;
@@ -143,7 +173,22 @@
         }
     }
 
+    private boolean isLate() {
+        return upload == null && links.clock.now() >= began + within;
+    }
+
+    /** Whether all but the upload, if there is one, is with the system. */
+    private boolean isHanded() {
+        return request[1].remaining() + request[0].remaining() == 0;
+    }
+
     private void upload() {
+        // Danger: where no forward may be called off, one whose client left in the middle would stay out.
+        upload.whenReleased(() -> {
+            if (!isSent()) {
+                unsent();
+            }
+        });
         // Danger: a backend that takes nothing would keep its client for ever. The giver is the door's.
         uploading = new Relay(upload, link.connection.getSinkChannel(), links.io,
                 new Relay.Patience(0, upload.stall), () -> { }, whole -> {
@@ -161,7 +206,7 @@
 
     /** Whether its last byte is with the system. */
     private boolean isSent() {
-        return request[1].remaining() + request[0].remaining() == 0 && (upload == null || uploaded);
+        return isHanded() && (upload == null || uploaded);
     }
 
     /** When it began, or where it is an upload, when its last byte had gone. */
@@ -300,6 +345,13 @@
         }
     }
 
+    private void unsent() {
+        if (!done) {
+            abandon();
+            end.accept(Answer.unsent());
+        }
+    }
+
     /** Gives the request up by closing its connection, so that no copy is left out. */
     void abandon() {
         if (done) {
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -23,6 +23,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lemondrift.body.Holding;
@@ -40,7 +41,6 @@
 import org.xnio.StreamConnection;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.conduits.StreamSourceConduit;
 import org.xnio.nio.InheritedServer;
 
 /** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
@@ -79,8 +79,9 @@
     /** In its place where the process was given a socket. */
     private InheritedServer inherited;
     private long taken;
-    private volatile boolean draining, busy;
-    private volatile double lastArrival;
+    private volatile boolean draining;
+    /** When the last answers are to be out. */
+    private volatile double lastAnswers = Double.POSITIVE_INFINITY;
 
     Front(Config config, Grades grades, Clock clock, XnioWorker worker, ByteBufferPool buffers, Owner owner,
             Tally tally) {
@@ -156,9 +157,13 @@
         }
     }
 
-    /** From now on answers close their connections, those without a word go by then; new ones are taken. */
-    void drain(double until) {
+    /**
+     * From now on answers close their connections, those without a word go by then; new ones are taken, and
+     * whatever is taken is to be answered by the last time.
+     */
+    void drain(double until, double last) {
         draining = true;
+        lastAnswers = last;
         worker.getIoThread().execute(() -> visitors.drain(until));
     }
 
@@ -168,12 +173,38 @@
         worker.getIoThread().execute(visitors::resume);
     }
 
+    /** The indexes of classes that open exchanges name. I/O thread only. */
+    Set<Integer> grades() {
+        return visitors.grades();
+    }
+
+    /** How many clients have an exchange open. I/O thread only. */
+    int open() {
+        return visitors.open();
+    }
+
     boolean isDraining() {
         return draining;
     }
 
-    boolean isQuietSince(double time) {
-        return !busy && lastArrival <= time;
+    /**
+     * Takes in who waits to be accepted, and says whether nobody is left to whom an answer is owed. I/O
+     * thread only. Danger: what came since such a look would be lost, so that whoever ends upon it does so
+     * there.
+     */
+    boolean isDrained() {
+        try {
+            for (StreamConnection next = accept(); next != null; next = accept()) {
+                accepted(next);
+            }
+        } catch (IOException e) {
+            // Out of descriptors, say: whoever has one goes first.
+        }
+        return visitors.isDrained();
+    }
+
+    private StreamConnection accept() throws IOException {
+        return server == null ? null : server.accept();
     }
 
     void close() {
@@ -191,6 +222,10 @@
         visitor.headRead();
         client.putAttachment(VISITOR, visitor);
         client.addExchangeCompleteListener((done, next) -> {
+            if (done.getConnection() instanceof AbstractServerConnection its && its.getExtraBytes() != null) {
+                // What is sent ahead is Undertow's to read from now on.
+                its.getChannel().getSourceChannel().suspendReads();
+            }
             // Danger: what was closed midway ends here too, before its client is seen to have gone, and
             // what is out for it would stay out.
             if (channel(done).isOpen()) {
@@ -200,14 +235,12 @@
                 }
                 visitor.answered();
             }
-            busy = visitors.open() > 0;
             next.proceed();
         });
         if (client.getRequestPath().equals("/healthz") && !client.getRequestHeaders().contains(TRACE)) {
             end(client, draining ? 503 : Answer.OK);
             return;
         }
-        lastArrival = clock.now();
         if (!isPlain(client)) {
             reject(client, 400);
             return;
@@ -269,7 +302,6 @@
         Exchange x = new Exchange(usual.id, usual.grade, usual.tenant, usual.arrived, most, usual.retry);
         x.terms = usual.terms.within(most);
         visitor.exchange = x;
-        busy = true;
         offer(new Taken(x, client, new byte[0], upload));
     }
 
@@ -370,8 +402,12 @@
                 return;
             }
             visitor.whole();
-            busy = true;
-            watchForClose((AbstractServerConnection) client.getConnection());
+            AbstractServerConnection connection = (AbstractServerConnection) client.getConnection();
+            watchForClose(connection);
+            if (visitors.stoodStill()) {
+                // Danger: what waited while the process stood still may have been left by its client since.
+                lookAhead(connection);
+            }
             offer(new Taken(x, client, body, null));
         });
     }
@@ -415,9 +451,9 @@
         if (only(headers, TRACE).isEmpty() || grade < 0 || tenant < 0 || milliseconds < 0) {
             return null;
         }
-        double now = clock.now();
-        Exchange x = new Exchange(++taken, grade, tenant, now, Math.min(LONGEST, milliseconds) / 1e3,
-                only(headers, RETRY).equals("1"));
+        double arrived = visitors.arrival();
+        double left = Math.min(Math.min(LONGEST, milliseconds) / 1e3, lastAnswers - arrived);
+        Exchange x = new Exchange(++taken, grade, tenant, arrived, left, only(headers, RETRY).equals("1"));
         x.terms = terms[grade];
         return x;
     }
@@ -428,39 +464,54 @@
 
     /** A client has gone whose exchange is open. */
     private void left(Exchange x) {
-        busy = visitors.open() > 0;
         owner.left(x);
     }
 
     /** Danger: Undertow reads nothing while an answer is awaited, so a client that goes is not seen. */
     private static void watchForClose(AbstractServerConnection connection) {
-        // Danger: what Undertow has read ahead already would be lost to what is read here.
-        if (connection.getExtraBytes() != null) {
-            return;
-        }
-        StreamSourceConduit source = connection.getOriginalSourceConduit();
-        connection.getChannel().getSourceChannel().setReadListener(channel -> {
-            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-            try {
-                int got = source.read(pooled.getBuffer());
-                if (got > 0) {
-                    // A request sent ahead of the answer to the one before: it is read when its turn comes.
-                    pooled.getBuffer().flip();
-                    connection.setExtraBytes(pooled);
-                    pooled = null;
-                    channel.suspendReads();
-                } else if (got < 0) {
-                    IoUtils.safeClose(connection.getChannel());
-                }
-            } catch (IOException e) {
-                IoUtils.safeClose(connection.getChannel());
-            } finally {
-                IoUtils.safeClose(pooled);
-            }
-        });
+        connection.getChannel().getSourceChannel().setReadListener(channel -> lookAhead(connection));
         connection.getChannel().getSourceChannel().resumeReads();
     }
 
+    /**
+     * Reads what is sent ahead of the answer to the request before, a buffer of it, and whether the client
+     * has gone behind that. It is used when its turn comes.
+     */
+    private static void lookAhead(AbstractServerConnection connection) {
+        PooledByteBuffer pooled = connection.getExtraBytes();
+        boolean fresh = pooled == null;
+        pooled = fresh ? connection.getByteBufferPool().allocate() : pooled;
+        ByteBuffer buffer = pooled.getBuffer();
+        // Danger: what was read ahead already, by Undertow too, stands between the two marks.
+        int begin = fresh ? 0 : buffer.position(), end = fresh ? 0 : buffer.limit();
+        int got = 0;
+        try {
+            buffer.limit(buffer.capacity()).position(end);
+            got = buffer.hasRemaining() ? connection.getOriginalSourceConduit().read(buffer) : 0;
+            if (!buffer.hasRemaining()) {
+                // Danger: without an end to it one client could fill the memory.
+                connection.getChannel().getSourceChannel().suspendReads();
+            }
+        } catch (IOException e) {
+            got = -1;
+        }
+        buffer.limit(Math.max(end, end + got)).position(begin);
+        if (got > 0 && fresh) {
+            connection.setExtraBytes(pooled);
+        } else if (fresh) {
+            pooled.close();
+        }
+        if (got < 0) {
+            IoUtils.safeClose(connection.getChannel());
+        }
+    }
+
+    /** Whether its client is there and has no answer yet. */
+    boolean awaits(Taken taken) {
+        return taken.client().getAttachment(VISITOR).exchange == taken.exchange()
+                && !taken.client().isResponseStarted();
+    }
+
     /** Passes a backend's answer on. */
     void deliver(Taken taken, Answer answer) {
         HttpServerExchange client = taken.client();
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -146,6 +146,11 @@
         closeIdleSince(Double.POSITIVE_INFINITY);
     }
 
+    /** Whether nothing more is to be sent here. */
+    boolean isRetired() {
+        return retired;
+    }
+
     /** Closes what has stood idle since before a time. */
     void closeIdleSince(double time) {
         while (!idle.isEmpty() && idle.peekLast().idleSince <= time) {
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +60,12 @@
     private Grades grades;
     private Settings settings;
     private int processes = 1;
+    /**
+     * How many statements the front does not go by yet, and the indexes that it had exchanges under when it
+     * went by the last. Danger: what it still puts on one must not mean another class here.
+     */
+    private int unfollowed;
+    private Set<Integer> held = Set.of();
 
     Owner(Balancer balancer, Directory directory, Clock clock, Hands hands, Grades grades,
             Settings settings) {
@@ -238,8 +245,11 @@
     /** Other settings hold from now on, for what comes; watched is null where nobody watches. */
     void retune(Settings to, List<String> names, Settings watched) {
         put(null, () -> {
-            grades = grades.retuned(names, to.grades(),
-                    i -> open.keySet().stream().anyMatch(x -> x.grade == i));
+            grades = grades.retuned(names, to.grades(), i -> unfollowed > 0 || held.contains(i)
+                    || open.keySet().stream().anyMatch(x -> x.grade == i));
+            unfollowed++;
+            // Danger: under an index another class may stand from now on.
+            words = List.of();
             settings = settings.retuned(to, grades.indexed());
             balancer.stated(settings.sharedBy(processes), grades.fresh());
             if (shadow != null && watched != null) {
@@ -251,10 +261,54 @@
         });
     }
 
+    /** The front goes by what was stated last, and has exchanges under these indexes of classes. */
+    void followed(Set<Integer> under) {
+        put(null, () -> {
+            unfollowed--;
+            held = under;
+            return null;
+        });
+    }
+
     private void count() {
         hands.targets(directory.listed(), directory.listed() - balancer.usable());
     }
 
+    /**
+     * Answers all that is open: refused where nothing was forwarded. Danger: at the end of the process what
+     * has no answer is lost.
+     */
+    void endAll() {
+        put(null, () -> {
+            for (Exchange x : List.copyOf(open.keySet())) {
+                if (!x.over) {
+                    carryOut(balancer.clientLeft(clock.now(), x));
+                    answer(x, x.forwards == 0, 0);
+                    release(x);
+                }
+            }
+            return null;
+        });
+    }
+
+    /** What is the owner's own is to be seen there only. */
+    void onOwner(Runnable task) {
+        put(null, () -> {
+            task.run();
+            return null;
+        });
+    }
+
+    /** How often something speaks of a backend by its index. Owner's thread only. */
+    int spokenOf() {
+        return directory.held();
+    }
+
+    /** How many exchanges are open. Owner's thread only. */
+    int open() {
+        return open.size();
+    }
+
     void listFailed() {
         put(null, () -> balancer.listFailed(clock.now()));
     }
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -8,6 +8,8 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lemondrift.decide.Balancer;
 import lemondrift.model.Forward;
@@ -25,6 +27,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -35,8 +38,12 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Proxy.class);
     private static final int BUFFER = 8 * 1024, MOST_BUFFERS = 512;
-    /** Seconds in which new clients may still come after a drain has begun, and the quiet that ends it. */
-    private static final double STRAGGLERS = 0.55, QUIET = 0.25;
+    /**
+     * Seconds in which new clients may still come after a drain has begun; by how much later than the longest
+     * expiry its last answers are out, and until when they may be fetched; and between two looks at whether
+     * all is answered. A platform that grants an expiry and 0.7 s has its end before it kills.
+     */
+    private static final double STRAGGLERS = 0.55, ANSWERS = 0.5, FETCHED = 0.6, DRAIN_LOOKS = 0.01;
 
     /**
      * Seconds in which clients are sent away. Danger: whoever is still here later may bring one more request,
@@ -57,8 +64,8 @@
     private final Watch watch;
     private final Backends backends;
     private volatile Config config;
-    /** Of all that were stated since the start, as what came under an earlier one may still be open. */
-    private volatile double longestExpiry;
+    /** Until when what came under an earlier configuration may be open. */
+    private volatile double formerExpiry;
     private final JsonObject known;
     /** Null where the other proxies are told nothing. */
     private final Peers peers;
@@ -80,7 +87,6 @@
         Dial sockets = (to, opened) -> io.openStreamConnection(to, opened, NO_DELAY);
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, MOST_BUFFERS, 8);
         this.config = config;
-        longestExpiry = config.longestExpiry();
         Grades grades = new Grades(config.gradeNames(), config.settings().grades());
         Balancer balancer = new Balancer(config.settings(), config.seed());
         owner = new Owner(balancer, new Directory(config.locations()), clock, new Sockets(io), grades,
@@ -91,7 +97,7 @@
         front = new Front(config, grades, clock, worker, buffers, owner, tally);
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
-                tally);
+                tally, front::awaits);
         known = config.known();
         peers = config.peers() == null || dial != null || !balancer.isToBeTold() ? null
                 : new Peers(config.peers(), owner);
@@ -130,7 +136,7 @@
         } else {
             front.listen(given);
         }
-        phase = Phase.SERVING;
+        enter(Phase.SERVING);
         LOG.info("serving");
     }
 
@@ -146,8 +152,8 @@
         if (!later.isEmpty()) {
             LOG.warn("holds from the next start only: {}", later);
         }
+        formerExpiry = Math.max(formerExpiry, clock.now() + config.longestExpiry());
         config = next;
-        longestExpiry = Math.max(longestExpiry, next.longestExpiry());
         owner.retune(next.settings(), next.gradeNames(), next.shadow());
         worker.getIoThread().execute(() -> {
             tally.reloaded(true);
@@ -187,7 +193,7 @@
             public boolean quiesce() {
                 if (phase == Phase.SERVING && !front.isDraining()) {
                     LOG.info("sends clients away");
-                    front.drain(clock.now() + SENT_AWAY);
+                    front.drain(clock.now() + SENT_AWAY, Double.POSITIVE_INFINITY);
                 }
                 return phase == Phase.SERVING;
             }
@@ -236,20 +242,38 @@
 
     /** Takes clients as long as they come, answers all that was taken, and returns. */
     void drain() throws InterruptedException {
-        double began = clock.now(), last = began + longestExpiry + STRAGGLERS;
+        double began = clock.now(), last = Math.max(began + config.longestExpiry(), formerExpiry);
         front.leaveGiven();
-        front.drain(began + STRAGGLERS);
-        phase = Phase.DRAINING;
+        front.drain(began + STRAGGLERS, last + ANSWERS);
+        enter(Phase.DRAINING);
         LOG.info("draining");
-        while (clock.now() < began + STRAGGLERS
-                || !front.isQuietSince(clock.now() - QUIET) && clock.now() < last) {
-            Thread.sleep(10);
+        CountDownLatch drained = new CountDownLatch(1);
+        XnioExecutor.Key looks = worker.getIoThread().executeAtInterval(() -> {
+            // Danger: between a look and an end elsewhere one more request could be read and lost.
+            if (clock.now() >= began + STRAGGLERS && front.isDrained()) {
+                front.close();
+                drained.countDown();
+            }
+        }, (long) (DRAIN_LOOKS * 1e9), TimeUnit.NANOSECONDS);
+        if (!await(drained, last + ANSWERS)) {
+            owner.endAll();
+            await(drained, last + FETCHED);
         }
+        looks.remove();
         close();
-        phase = Phase.STOPPED;
+        enter(Phase.STOPPED);
         LOG.info("stopped");
     }
 
+    private boolean await(CountDownLatch latch, double until) throws InterruptedException {
+        return latch.await((long) (Math.max(0, until - clock.now()) * 1e9), TimeUnit.NANOSECONDS);
+    }
+
+    /** Danger: a signal may come while the start is still at work, and a phase must not come back. */
+    private synchronized void enter(Phase next) {
+        phase = next.compareTo(phase) > 0 ? next : phase;
+    }
+
     void close() {
         front.close();
         worker.getIoThread().execute(() -> {
@@ -271,6 +295,24 @@
         worker.getIoThread().execute(task);
     }
 
+    /** The same for the owner's. */
+    void onOwner(Runnable task) {
+        owner.onOwner(task);
+    }
+
+    /** How much is in hand. */
+    record InHand(int visitors, int exchanges, int calls, int spokenOf) {}
+
+    /** What the I/O thread has in hand and then what the owner has. */
+    CompletableFuture<InHand> inHand() {
+        CompletableFuture<InHand> told = new CompletableFuture<>();
+        onIo(() -> {
+            int visitors = front.open(), calls = backends.calls();
+            onOwner(() -> told.complete(new InHand(visitors, owner.open(), calls, owner.spokenOf())));
+        });
+        return told;
+    }
+
     /** How many indexes classes have taken up. */
     int classesKnown() {
         return front.classesKnown();
@@ -350,7 +392,10 @@
 
         @Override
         public void retuned(Grades grades, Settings settings) {
-            wishes.add(() -> front.retuned(grades, settings));
+            wishes.add(() -> {
+                front.retuned(grades, settings);
+                owner.followed(front.grades());
+            });
         }
 
         @Override
--- a/src/main/java/lemondrift/serve/Upload.java
+++ b/src/main/java/lemondrift/serve/Upload.java
@@ -54,6 +54,7 @@
     /** What has come and is not held. Danger: one of a pool might be given away while it is still written. */
     private ByteBuffer loose;
     private boolean beyond, ended, given, failed;
+    private Runnable released = () -> { };
 
     Upload(HttpServerExchange client, Holding holding, ByteBufferPool buffers, long longest, double stall,
             Hearer hearer) {
@@ -186,11 +187,17 @@
         channel.resumeReads();
     }
 
+    /** What is to be done when its request is over, by whoever passes it on. */
+    void whenReleased(Runnable then) {
+        released = then;
+    }
+
     /** Its request is over: nothing is held any more. */
     void release() {
         holding.letGo(count);
         count = 0;
         held = new byte[0];
         failed = true;
+        released.run();
     }
 }
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import lemondrift.door.Bounds;
 import lemondrift.door.Door;
 import lemondrift.door.Reason;
@@ -264,6 +265,28 @@
         return traces.size();
     }
 
+    /** The indexes of classes that open exchanges name. */
+    Set<Integer> grades() {
+        return all.values().stream().filter(each -> each.exchange != null).map(each -> each.exchange.grade)
+                .collect(Collectors.toSet());
+    }
+
+    /** When a request that is read now has come at the latest: before now if the process stood still. */
+    double arrival() {
+        return door.unreadSince(clock.now());
+    }
+
+    /** Whether what is read now may have waited while the process stood still. */
+    boolean stoodStill() {
+        double now = clock.now();
+        return door.unreadSince(now) < now;
+    }
+
+    /** Whether the drain has left nobody to whom an answer is owed. */
+    boolean isDrained() {
+        return door.isDrained(clock.now());
+    }
+
     Visitor of(StreamConnection connection) {
         return all.get(connection);
     }
--- /dev/null
+++ b/src/test/java/lemondrift/serve/CrossingsTest.java
@@ -0,0 +1,387 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.StreamConnection;
+
+/** Two events that cross, in the order that does harm; docs/incidents/narrow-moments.md has the list. */
+class CrossingsTest extends Loopback {
+    private boolean mayCancel = true;
+    private int contractTime = 1500, expiry = 4000;
+
+    @Override
+    String config(int discovery, boolean probes) {
+        return super.config(discovery, probes).replace("\"mayCancel\":true", "\"mayCancel\":" + mayCancel)
+                .replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
+                .replace("\"contractTime\":1500", "\"contractTime\":" + contractTime)
+                .replace("\"expiry\":4000", "\"expiry\":" + expiry);
+    }
+
+    private Socket client() throws IOException {
+        Socket client = new Socket("127.0.0.1", proxy.address().getPort());
+        client.setSoTimeout(10_000);
+        return client;
+    }
+
+    private static String get(String trace) {
+        return "GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + trace
+                + "\r\nX-Qos: look\r\nX-Expires-In-Ms: 60000\r\n\r\n";
+    }
+
+    private static void write(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Waits for a state that is to be reached at last. */
+    private Proxy.InHand await(Predicate<Proxy.InHand> state) throws Exception {
+        Proxy.InHand now = proxy.inHand().get(5, TimeUnit.SECONDS);
+        for (long until = System.nanoTime() + 10_000_000_000L; !state.test(now); Thread.sleep(2)) {
+            assertTrue(System.nanoTime() < until, "not reached, but " + now);
+            now = proxy.inHand().get(5, TimeUnit.SECONDS);
+        }
+        return now;
+    }
+
+    private void nothingIsInHand() throws Exception {
+        await(new Proxy.InHand(0, 0, 0, 0)::equals);
+    }
+
+    private void lateConnections() throws IOException {
+        dial = new LateDial(Proxy.worker());
+    }
+
+    private void letUp(Runnable connection) throws Exception {
+        proxy.onIo(connection);
+    }
+
+    /** Nothing was sent on the one connection that came up, and it is closed. */
+    private static void sawNothing(StandIn backend) throws Exception {
+        assertTrue(backend.left.await(5, TimeUnit.SECONDS), "its connection is closed");
+        assertTrue(backend.requests.isEmpty(), backend.requests.toString());
+    }
+
+    // A client that left while its request waited.
+
+    @Test
+    void whoLeftWhileAConnectionCameUpIsNotSentOnThoughNothingMayBeCalledOff() throws Exception {
+        mayCancel = false;
+        lateConnections();
+        StandIn backend = backend(SILENCE);
+        start(backend);
+        Runnable up;
+        try (Socket client = client()) {
+            write(client, get("a"));
+            up = dial.next();
+        }
+        await(now -> now.visitors() == 0);
+        letUp(up);
+        sawNothing(backend);
+        nothingIsInHand();
+    }
+
+    @Test
+    void whoLeftBeforeItsForwardWasDecidedIsNotSentOn() throws Exception {
+        mayCancel = false;
+        StandIn backend = backend(OK);
+        start(backend);
+        assertEquals(200, look().statusCode(), "a connection to be used again");
+        backend.requests.clear();
+        CountDownLatch decides = new CountDownLatch(1);
+        proxy.onOwner(() -> awaits(decides));
+        try (Socket client = client()) {
+            write(client, get("b"));
+            awaitOnIo(1);
+        }
+        awaitOnIo(0);
+        decides.countDown();
+        nothingIsInHand();
+        assertEquals(200, look().statusCode());
+        assertFalse(backend.requests.take().contains("X-Trace-Id: b"));
+        assertTrue(backend.requests.isEmpty());
+    }
+
+    private static void awaits(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** So many clients have an exchange open as the I/O thread sees it, whatever the owner does. */
+    private void awaitOnIo(int visitors) throws Exception {
+        long until = System.nanoTime() + 10_000_000_000L;
+        while (proxy.operated().figures().concurrent() != visitors) {
+            assertTrue(System.nanoTime() < until);
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void whoSentItsNextRequestAheadAndLeftIsNoticed() throws Exception {
+        contractTime = expiry = 60_000;
+        StandIn backend = backend(SILENCE);
+        start(backend);
+        for (String ahead : new String[] {"G", get("next").substring(0, 60), get("next") + get("third")}) {
+            try (Socket client = client()) {
+                write(client, get("a"));
+                assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+                write(client, ahead);
+            }
+            nothingIsInHand();
+        }
+        try (Socket client = client()) {
+            write(client, get("a") + get("in one piece"));
+            assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+        }
+        nothingIsInHand();
+        Socket reset = client();
+        write(reset, get("a"));
+        assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+        write(reset, "GE");
+        reset.setSoLinger(true, 0);
+        reset.close();
+        nothingIsInHand();
+        assertTrue(backend.requests.isEmpty(), "none of what was sent ahead: " + backend.requests);
+    }
+
+    @Test
+    void whatIsSentAheadInPiecesIsStillAnsweredInTurn() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        StandIn backend = backend(go);
+        start(backend);
+        try (Socket client = client()) {
+            write(client, get("a"));
+            assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+            String two = get("b") + get("c");
+            for (int i = 0; i < two.length(); i += 37) {
+                write(client, two.substring(i, Math.min(two.length(), i + 37)));
+            }
+            // One of another client that is answered after what was sent ahead has been read.
+            go.countDown();
+            for (int i = 0; i < 3; i++) {
+                assertTrue(read(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+        nothingIsInHand();
+    }
+
+    @Test
+    void whoLeftInTheMiddleOfALongBodyKeepsNoForwardOut() throws Exception {
+        mayCancel = false;
+        StandIn backend = backend(SILENCE);
+        start(backend);
+        try (Socket client = client()) {
+            write(client, "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+                    + "X-Expires-In-Ms: 4000\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(400_000));
+            await(now -> now.calls() == 1);
+        }
+        nothingIsInHand();
+        assertTrue(backend.left.await(5, TimeUnit.SECONDS), "its connection is closed");
+        assertTrue(backend.requests.take().length() < 1_000_000, "cut short, so that it has not begun");
+    }
+
+    // Time that has passed, and lists, while a forward waits.
+
+    @Test
+    void whatComesUpAfterTheContractTimeIsNotSent() throws Exception {
+        contractTime = 300;
+        lateConnections();
+        StandIn backend = backend(SILENCE);
+        start(backend);
+        var answer = http.sendAsync(request("order").build(),
+                java.net.http.HttpResponse.BodyHandlers.ofString());
+        Runnable up = dial.next();
+        proxy.onIo(() -> {
+            // The I/O thread stands still until the time is over; no timer runs before the connection is up.
+            try {
+                Thread.sleep(400);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            up.run();
+        });
+        sawNothing(backend);
+        assertEquals(503, answer.get(10, TimeUnit.SECONDS).statusCode(), "it never ran");
+        nothingIsInHand();
+    }
+
+    @Test
+    void whatWaitedForAConnectionWhenItsBackendLeftGoesElsewhere() throws Exception {
+        lateConnections();
+        StandIn first = backend(OK), second = backend(OK);
+        start(first, second);
+        var answer = http.sendAsync(request("order").build(),
+                java.net.http.HttpResponse.BodyHandlers.ofString());
+        Runnable up = dial.next();
+        StandIn leaving = await(now -> now.calls() == 1) != null && isFor(up, first) ? first : second;
+        news.add(http(list(2, false, member(leaving == first ? 0 : 1, leaving.port(), "leaving"))));
+        awaitWatch("from=2");
+        await(now -> true);
+        await(now -> true);
+        letUp(up);
+        letUp(dial.next());
+        assertEquals(200, answer.get(10, TimeUnit.SECONDS).statusCode());
+        assertTrue(leaving.requests.isEmpty(), "told to drain before its first byte");
+        nothingIsInHand();
+    }
+
+    /** A connection that is up for the kernel has been accepted by its stand-in. */
+    private static boolean isFor(Runnable up, StandIn backend) throws Exception {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (System.nanoTime() < until && backend.accepted.get() == 0) {
+            Thread.sleep(1);
+            if (System.nanoTime() > until - 4_500_000_000L) {
+                return false;
+            }
+        }
+        return backend.accepted.get() > 0;
+    }
+
+    // A forward's one end.
+
+    @Test
+    void aForwardThatCannotBeBegunEndsOnce() throws Exception {
+        dial = new LateDial(Proxy.worker()) {
+            @Override
+            public IoFuture<StreamConnection> open(java.net.InetSocketAddress to,
+                    ChannelListener<StreamConnection> opened) {
+                throw new IllegalStateException("made up");
+            }
+        };
+        start(backend(OK));
+        assertEquals(503, look().statusCode());
+        assertEquals(0, proxy.inHand().get(5, TimeUnit.SECONDS).calls(), "none ends again with its timers");
+        nothingIsInHand();
+    }
+
+    // Shutdown.
+
+    @Test
+    void aRequestThatWaitsUnreadWhenADrainEndsIsAnswered() throws Exception {
+        contractTime = expiry = 60_000;
+        start(backend(OK));
+        assertEquals(200, look().statusCode());
+        CountDownLatch still = new CountDownLatch(1);
+        proxy.onIo(() -> awaits(still));
+        try (Socket client = client()) {
+            write(client, get("a"));
+            Thread drain = drains();
+            drain.join(1500);
+            still.countDown();
+            String answer = read(client);
+            assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), String.valueOf(answer));
+            drain.join();
+        }
+    }
+
+    @Test
+    void aRequestHalfComeWhenADrainBeginsIsAnswered() throws Exception {
+        start(backend(OK));
+        String whole = "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"
+                + "X-Expires-In-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody";
+        for (int cut : new int[] {whole.length() - 2, whole.length() - 30}) {
+            if (proxy.phase() == Proxy.Phase.STOPPED) {
+                start(backend(OK));
+            }
+            try (Socket client = client()) {
+                write(client, whole.substring(0, cut));
+                Thread drain = drains();
+                client.setSoTimeout(1000);
+                assertThrows(SocketTimeoutException.class, () -> client.getInputStream().read(),
+                        "it stays open");
+                client.setSoTimeout(10_000);
+                write(client, whole.substring(cut));
+                String answer = read(client);
+                assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), String.valueOf(answer));
+                drain.join();
+            }
+        }
+    }
+
+    @Test
+    void whatIsTakenLateInADrainIsAnsweredBeforeItsEnd() throws Exception {
+        contractTime = expiry = 1500;
+        start(backend(SILENCE));
+        try (Socket half = client()) {
+            write(half, get("a").substring(0, 40));
+            Thread drain = drains();
+            half.setSoTimeout(900);
+            assertThrows(SocketTimeoutException.class, () -> half.getInputStream().read());
+            half.setSoTimeout(10_000);
+            write(half, get("a").substring(40));
+            String answer = read(half);
+            assertTrue(answer != null && answer.startsWith("HTTP/1.1 50"), String.valueOf(answer));
+            drain.join();
+        }
+    }
+
+    @Test
+    void anAnswerBeforeWhatIsUnreadIsNotLostWithItsConnection() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        StandIn backend = backend(go);
+        start(backend);
+        try (Socket client = client()) {
+            write(client, get("a"));
+            assertNotNull(backend.requests.poll(5, TimeUnit.SECONDS));
+            write(client, "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: b\r\nX-Qos: order\r\n"
+                    + "X-Expires-In-Ms: 4000\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(50_000));
+            Thread drain = drains();
+            go.countDown();
+            drain.join();
+            String answer = read(client);
+            assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), String.valueOf(answer));
+        }
+    }
+
+    // Settings.
+
+    @Test
+    void aDroppedClassesIndexIsNotGivenOutBeforeTheFrontHasLetGoOfIt() throws Exception {
+        StandIn backend = backend(OK);
+        start(backend);
+        JsonObject none = JsonParser.parseString(config(discovery.port(), false)).getAsJsonObject();
+        JsonObject other = none.deepCopy();
+        none.getAsJsonObject("settings").getAsJsonArray("serviceGrades").remove(0);
+        other.getAsJsonObject("settings").getAsJsonArray("serviceGrades").get(0).getAsJsonObject()
+                .addProperty("name", "new");
+        CountDownLatch decides = new CountDownLatch(1);
+        proxy.onOwner(() -> awaits(decides));
+        proxy.reload(Config.read(none.toString()));
+        proxy.reload(Config.read(other.toString()));
+        try (Socket client = client()) {
+            write(client, get("a"));
+            awaitOnIo(1);
+            decides.countDown();
+            assertTrue(read(client).startsWith("HTTP/1.1 200"), "under the rules it came under");
+        }
+        await(now -> true);
+        assertEquals(3, proxy.classesKnown(), "the new class has an index of its own");
+    }
+
+    // Lists.
+
+    @Test
+    void aLineThatCannotBeReadCostsThatLineAlone() throws Exception {
+        StandIn first = backend(OK), second = backend(OK);
+        start(first, second);
+        news.add(http(list(2, true, member(0, first.port(), "active").replace("\"cell\":0",
+                "\"cell\":\"none\""), member(1, second.port(), "leaving"))));
+        news.add(SILENCE);
+        awaitWatch("from=2");
+        assertEquals(200, order("x").statusCode());
+        assertEquals(1, first.requests.size(), "it is as it was before that list");
+    }
+}
--- a/src/test/java/lemondrift/serve/Loopback.java
+++ b/src/test/java/lemondrift/serve/Loopback.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
@@ -16,10 +17,17 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
+import org.xnio.ChannelListener;
+import org.xnio.FutureResult;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
 
 /** The real proxy on loopback, between stand-ins for clients, backends and discovery. */
 abstract class Loopback {
@@ -39,12 +47,42 @@
     UnaryOperator<Config> changed = config -> config;
     StandIn discovery;
     Proxy proxy;
+    /** How connections to backends come up; null is as they do. */
+    LateDial dial;
+
+    /** Connections to backends come up when they are let. */
+    static class LateDial implements Dial {
+        final XnioWorker worker;
+        /** Those that wait, each to be let up on the I/O thread. */
+        final LinkedBlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
+
+        LateDial(XnioWorker worker) {
+            this.worker = worker;
+        }
+
+        @Override
+        public IoFuture<StreamConnection> open(InetSocketAddress to,
+                ChannelListener<StreamConnection> opened) {
+            FutureResult<StreamConnection> result = new FutureResult<>();
+            worker.getIoThread().openStreamConnection(to, connection -> waiting.add(() -> {
+                result.setResult(connection);
+                opened.handleEvent(connection);
+            }), OptionMap.EMPTY);
+            return result.getIoFuture();
+        }
+
+        /** The next one; null where none comes. */
+        Runnable next() throws InterruptedException {
+            return waiting.poll(5, TimeUnit.SECONDS);
+        }
+    }
 
     /** A scripted HTTP server; it notes whole requests, and connections that the other side has closed. */
     final class StandIn {
         final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         final LinkedBlockingQueue<String> requests = new LinkedBlockingQueue<>();
         final CountDownLatch left = new CountDownLatch(1);
+        final AtomicInteger accepted = new AtomicInteger();
         final Function<String, String> script;
 
         StandIn(Function<String, String> script) throws IOException {
@@ -53,6 +91,7 @@
             daemon(() -> {
                 while (true) {
                     Socket socket = server.accept();
+                    accepted.incrementAndGet();
                     daemon(() -> serve(socket));
                 }
             });
@@ -155,7 +194,8 @@
                 return CLOSE;
             }
         });
-        proxy = new Proxy(changed.apply(Config.read(config(discovery.port(), probes))));
+        Config config = changed.apply(Config.read(config(discovery.port(), probes)));
+        proxy = dial == null ? new Proxy(config) : new Proxy(config, dial.worker, dial);
         proxy.serve();
         // The watch has begun, so the list has been told.
         awaitWatch("from=1");
--- /dev/null
+++ b/src/test/java/lemondrift/serve/StandstillTest.java
@@ -0,0 +1,85 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.BufferedReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real process that stands still while requests come; on loopback. */
+class StandstillTest extends Loopback {
+    /** Time enough to be noticed as a pause, and for the short request's to pass. */
+    private static final long STILL = 900;
+
+    private static void signal(Process to, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor());
+    }
+
+    private static Socket ask(int port, String trace, int milliseconds) throws Exception {
+        Socket client = new Socket("127.0.0.1", port);
+        client.setSoTimeout(10_000);
+        client.getOutputStream().write(("GET / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + trace + "\r\nX-Qos: "
+                + "look\r\nX-Expires-In-Ms: " + milliseconds + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return client;
+    }
+
+    @Test
+    void whatWaitedInItsSocketsIsSentOnOnlyWhileSomebodyWaitsAndHasTime(@TempDir Path folder)
+            throws Exception {
+        StandIn backend = backend(OK);
+        StandIn agent = new StandIn(request -> request.contains("?") ? SILENCE
+                : http(list(1, true, member(0, backend.port(), "active"))));
+        int port;
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Path file = Files.writeString(folder.resolve("config.json"), config(agent.port(), false)
+                .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                // Else one with less time than the others is taken for a retry.
+                .replace("\"siblings\":1,", "\"siblings\":1,\"clients\":{\"marksRetry\":true},"));
+        ProcessBuilder command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
+                .toString(), "-cp", System.getProperty("java.class.path"), "lemondrift.Main", "serve");
+        command.environment().put("PROXY_CONFIG", file.toString());
+        Process child = command.redirectErrorStream(true).start();
+        try {
+            BufferedReader log = child.inputReader();
+            for (String line = ""; !line.contains("lines: 1"); line = log.readLine()) {
+                assertNotNull(line);
+            }
+            try (Socket before = ask(port, "before", 4000)) {
+                assertTrue(read(before).startsWith("HTTP/1.1 200"));
+            }
+            signal(child, "STOP");
+            List<Socket> gone = new ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+                gone.add(ask(port, "gone-" + i, 4000));
+            }
+            for (Socket each : gone) {
+                each.close();
+            }
+            Socket late = ask(port, "late", 300), stays = ask(port, "stays", 4000);
+            Thread.sleep(STILL);
+            signal(child, "CONT");
+            assertTrue(read(late).startsWith("HTTP/1.1 503"), "its time has passed");
+            assertTrue(read(stays).startsWith("HTTP/1.1 200"));
+            late.close();
+            stays.close();
+            try (Socket after = ask(port, "after", 4000)) {
+                assertTrue(read(after).startsWith("HTTP/1.1 200"));
+            }
+            List<String> sent = backend.requests.stream()
+                    .map(each -> each.replaceFirst("(?s).*X-Trace-Id: (\\S+).*", "$1")).toList();
+            assertEquals(List.of("before", "stays", "after"), sent);
+            child.destroy();
+            assertEquals(0, child.waitFor());
+        } finally {
+            child.destroyForcibly();
+        }
+    }
+}
