--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -82,9 +82,12 @@
     }
 
     private static Call make(Links links, Call call, double connectTimeout, double within) {
-        call.link = links.idle();
+        call.link = links.rested();
         if (call.link == null && !links.reserve()) {
-            return null;
+            call.link = links.idle();
+            if (call.link == null) {
+                return null;
+            }
         }
         call.began = links.clock.now();
         call.timer = call.upload == null ? call.after(within) : null;
--- a/src/main/java/lemondrift/serve/Links.java
+++ b/src/main/java/lemondrift/serve/Links.java
@@ -71,12 +71,14 @@
     final Clock clock;
     private final Budget budget;
     private final int most;
+    /** Seconds for which a connection is not used again after an answer. */
+    private final double rest;
     private final Deque<Link> idle = new ArrayDeque<>();
     private int open;
     private boolean retired;
 
     Links(InetSocketAddress address, XnioIoThread io, Dial dial, ByteBufferPool buffers, Clock clock,
-            Budget budget, int most) {
+            Budget budget, int most, double rest) {
         this.address = address;
         this.io = io;
         this.dial = dial;
@@ -84,14 +86,26 @@
         this.clock = clock;
         this.budget = budget;
         this.most = most;
+        this.rest = rest;
     }
 
     /**
-     * The connection that has been idle longest; null if there is none. Danger: that a backend closes one
-     * right after its answer is not heard of in time on the one used last.
+     * The connection that has been idle longest, if it has rested; null if there is none. Danger: that a
+     * backend closes one right after its answer, or says something more there, is not heard of in time on the
+     * one used last, and another client would be given what it says.
      */
+    Link rested() {
+        return idleSince(clock.now() - rest);
+    }
+
+    /** The one that has been idle longest, where there is no place for another; null if there is none. */
     Link idle() {
-        for (Link link = idle.pollLast(); link != null; link = idle.pollLast()) {
+        return idleSince(Double.POSITIVE_INFINITY);
+    }
+
+    private Link idleSince(double time) {
+        while (!idle.isEmpty() && idle.peekLast().idleSince <= time) {
+            Link link = idle.pollLast();
             budget.idle.remove(link);
             if (link.isClean()) {
                 return link;
--- a/src/test/java/lemondrift/serve/CrossingsTest.java
+++ b/src/test/java/lemondrift/serve/CrossingsTest.java
@@ -5,6 +5,8 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +26,7 @@
     @Override
     String config(int discovery, boolean probes) {
         return super.config(discovery, probes).replace("\"mayCancel\":true", "\"mayCancel\":" + mayCancel)
+                .replace("\"sockets\":64", "\"sockets\":1024")
                 .replace("\"connectTimeout\":250", "\"connectTimeout\":5000")
                 .replace("\"contractTime\":1500", "\"contractTime\":" + contractTime)
                 .replace("\"expiry\":4000", "\"expiry\":" + expiry);
@@ -346,6 +349,31 @@
         }
     }
 
+    // Connections that stand idle.
+
+    /** What a backend says some milliseconds after its answer, another request being there already. */
+    @Test
+    void aSecondAnswerIsNeverAnotherClients() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            daemon(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    daemon(() -> {
+                        read(socket);
+                        write(socket, OK);
+                        // The second answer waits for the second request, in case one comes here.
+                        read(socket);
+                        write(socket, http("evil") + OK);
+                    });
+                }
+            });
+            start(false, server.getLocalPort());
+            for (int i = 0; i < 5; i++) {
+                assertEquals("body", look().body());
+            }
+        }
+    }
+
     // Settings.
 
     @Test
