--- a/src/test/java/lemondrift/serve/Loopback.java
+++ b/src/test/java/lemondrift/serve/Loopback.java
@@ -1,5 +1,8 @@
 package lemondrift.serve;
 
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -11,6 +14,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -211,6 +215,30 @@
         start(false, List.of(backends).stream().mapToInt(StandIn::port).toArray());
     }
 
+    /** A real process of the proxy, its log on its output. */
+    static Process process(Path file) throws IOException {
+        ProcessBuilder command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
+                .toString(), "-cp", System.getProperty("java.class.path"), "lemondrift.Main", "serve");
+        command.environment().put("PROXY_CONFIG", file.toString());
+        return command.redirectErrorStream(true).start();
+    }
+
+    static void signal(Process to, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor());
+    }
+
+    static void awaitLine(BufferedReader log, String has) throws IOException {
+        for (String line = ""; !line.contains(has); line = log.readLine()) {
+            assertNotNull(line, "no line with " + has);
+        }
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return free.getLocalPort();
+        }
+    }
+
     StandIn backend(Function<String, String> script) throws IOException {
         return new StandIn(script);
     }
--- a/src/test/java/lemondrift/serve/StandstillTest.java
+++ b/src/test/java/lemondrift/serve/StandstillTest.java
@@ -17,10 +17,6 @@
     /** Time enough to be noticed as a pause, and for the short request's to pass. */
     private static final long STILL = 900;
 
-    private static void signal(Process to, String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor());
-    }
-
     private static Socket ask(int port, String trace, int milliseconds) throws Exception {
         Socket client = new Socket("127.0.0.1", port);
         client.setSoTimeout(10_000);
@@ -35,23 +31,15 @@
         StandIn backend = backend(OK);
         StandIn agent = new StandIn(request -> request.contains("?") ? SILENCE
                 : http(list(1, true, member(0, backend.port(), "active"))));
-        int port;
-        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         Path file = Files.writeString(folder.resolve("config.json"), config(agent.port(), false)
                 .replace("127.0.0.1:0", "127.0.0.1:" + port)
                 // Else one with less time than the others is taken for a retry.
                 .replace("\"siblings\":1,", "\"siblings\":1,\"clients\":{\"marksRetry\":true},"));
-        ProcessBuilder command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java")
-                .toString(), "-cp", System.getProperty("java.class.path"), "lemondrift.Main", "serve");
-        command.environment().put("PROXY_CONFIG", file.toString());
-        Process child = command.redirectErrorStream(true).start();
+        Process child = process(file);
         try {
             BufferedReader log = child.inputReader();
-            for (String line = ""; !line.contains("lines: 1"); line = log.readLine()) {
-                assertNotNull(line);
-            }
+            awaitLine(log, "lines: 1");
             try (Socket before = ask(port, "before", 4000)) {
                 assertTrue(read(before).startsWith("HTTP/1.1 200"));
             }
