--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -131,6 +131,7 @@
         owner.listed(known, true);
         owner.start();
         worker.getIoThread().execute(watch::begin);
+        watch.awaitFirst();
         if (given == null) {
             front.listen();
         } else {
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -5,6 +5,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lemondrift.model.Turn;
 import org.slf4j.Logger;
@@ -23,7 +24,7 @@
      */
     private static final double HOLD = 1.8, COSTLY_HOLD = 3, SLACK = 0.7, PAUSE = 0.1;
     /** Within how many seconds a whole list, or a new connection, is to be there. */
-    private static final double AT_ONCE = 1;
+    private static final double AT_ONCE = 0.5;
 
     private final Clock clock;
     private final XnioIoThread io;
@@ -31,6 +32,8 @@
     private final ByteBufferPool buffers;
     private final Owner owner;
     private final boolean onRequest;
+    /** The first call has ended, with a list or without. */
+    private final CountDownLatch first = new CountDownLatch(1);
     private long revision = -1;
     private boolean stopped, failing;
     private Links links;
@@ -58,6 +61,19 @@
         }
     }
 
+    /**
+     * Waits until the decisions have the list as it stands, or discovery does not tell it. Danger: what the
+     * agent has counts as told from the first moment of the process, and the list known from before may name
+     * backends that have drained for longer than the grace. Any thread but the I/O thread.
+     */
+    void awaitFirst() {
+        try {
+            first.await((long) (2 * AT_ONCE * 1e9), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Leaves discovery for another address. Danger: the old one's late answer would undo the new one's. */
     void move(InetSocketAddress discovery) {
         if (stopped) {
@@ -122,6 +138,7 @@
             }
             failing = false;
             owner.listed(list, false);
+            first.countDown();
             // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
             call();
         } catch (RuntimeException e) {
@@ -136,6 +153,7 @@
             LOG.info("list call failed, asking again: {}", why);
         }
         failing = true;
+        first.countDown();
         if (onRequest) {
             owner.listFailed();
         } else {
--- a/src/test/java/lemondrift/serve/CrossingsTest.java
+++ b/src/test/java/lemondrift/serve/CrossingsTest.java
@@ -473,6 +473,32 @@
 
     // Lists.
 
+    /** What the agent has counts as told from the first moment of the process. */
+    @Test
+    void noClientIsTakenBeforeTheListIsThere() throws Exception {
+        StandIn leaving = backend(OK), other = backend(OK);
+        CountDownLatch tells = new CountDownLatch(1);
+        discovery = new StandIn(request -> {
+            awaits(tells);
+            return request.contains("?") ? SILENCE : http(list(2, true, member(0, leaving.port(), "leaving"),
+                    member(1, other.port(), "active")));
+        });
+        JsonObject config = JsonParser.parseString(config(discovery.port(), false)).getAsJsonObject();
+        config.add("known", JsonParser.parseString(list(1, true, member(0, leaving.port(), "active"))));
+        proxy = new Proxy(Config.read(config.toString()));
+        Thread serves = new Thread(() -> assertDoesNotThrow(() -> proxy.serve()));
+        serves.start();
+        assertNotNull(discovery.requests.poll(5, TimeUnit.SECONDS));
+        serves.join(200);
+        if (proxy.phase() == Proxy.Phase.SERVING) {
+            assertEquals(200, look().statusCode());
+        }
+        tells.countDown();
+        serves.join();
+        assertEquals(200, look().statusCode());
+        assertTrue(leaving.requests.isEmpty(), "it has drained since before the start");
+    }
+
     /** What a silent watch misses counts as told 6 s after it fell silent. */
     @Test
     void twoWatchesInARowThatFallSilentAreOpenedAnewInTime() throws Exception {
