StandstillTest: requests are sent only once all threads of the process stand still

Failed once on a loaded machine (backend saw gone-0): SIGSTOP is taken by one thread first, and another had read the request before it stopped. The test now waits until /proc says that every thread is stopped.

--- a/src/test/java/lemondrift/serve/StandstillTest.java
+++ b/src/test/java/lemondrift/serve/StandstillTest.java
@@ -3,12 +3,14 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -17,6 +19,24 @@
     /** Time enough to be noticed as a pause, and for the short request's to pass. */
     private static final long STILL = 900;
 
+    /** Danger: one thread takes the signal and stops the others, which may read a request until then. */
+    private static void awaitStill(Process child) throws Exception {
+        for (boolean still = false; !still; ) {
+            try (Stream<Path> threads = Files.list(Path.of("/proc", String.valueOf(child.pid()), "task"))) {
+                still = threads.allMatch(StandstillTest::isStill);
+            }
+        }
+    }
+
+    private static boolean isStill(Path thread) {
+        try {
+            return Files.readString(thread.resolve("stat")).replaceFirst("(?s).*\\) ", "").startsWith("T");
+        } catch (IOException e) {
+            // It has ended.
+            return true;
+        }
+    }
+
     private static Socket ask(int port, String trace, int milliseconds) throws Exception {
         Socket client = new Socket("127.0.0.1", port);
         client.setSoTimeout(10_000);
@@ -45,6 +65,7 @@
                 assertTrue(read(before).startsWith("HTTP/1.1 200"));
             }
             signal(child, "STOP");
+            awaitStill(child);
             List<Socket> gone = new ArrayList<>();
             for (int i = 0; i < 5; i++) {
                 gone.add(ask(port, "gone-" + i, 4000));
