LargeFleetTest fails: requests unanswered while thousands of backends are replaced

The incident with thousands of servers, forced on loopback before any change: one real process, pinned to a core beside four busy loops, a hundred peers, 3,200 backends that listen, discovery silent at the start and back with a whole list of which a quarter is new, then ten versions of 320 lines each. The log shows that the lists themselves arrive in time.

--- /dev/null
+++ b/src/test/java/lemondrift/serve/ManyBackends.java
@@ -0,0 +1,92 @@
+package lemondrift.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.stream.IntStream;
+
+/** Thousands of backends on loopback ports of their own, served by one thread; each answers at once. */
+final class ManyBackends implements AutoCloseable {
+    private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+            + "Endpoint-Load-Metrics: TEXT queue=0, util=0.1\r\n\r\nbody")
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private final Selector selector = Selector.open();
+    private final int[] ports;
+
+    ManyBackends(int count) throws IOException {
+        ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            ServerSocketChannel server = ServerSocketChannel.open();
+            server.bind(new InetSocketAddress("127.0.0.1", 0), 50);
+            server.configureBlocking(false);
+            server.register(selector, SelectionKey.OP_ACCEPT);
+            ports[i] = server.socket().getLocalPort();
+        }
+        Loopback.daemon(this::serve);
+    }
+
+    int port(int backend) {
+        return ports[backend];
+    }
+
+    /** Lines of a list about backends of consecutive numbers, in one phase. */
+    String[] members(int from, int to, String phase) {
+        return IntStream.range(from, to).mapToObj(i -> Loopback.member(i, ports[i], phase))
+                .toArray(String[]::new);
+    }
+
+    private void serve() throws IOException {
+        while (selector.isOpen()) {
+            selector.select(key -> {
+                try {
+                    handle(key);
+                } catch (IOException e) {
+                    close(key);
+                }
+            });
+        }
+    }
+
+    private void handle(SelectionKey key) throws IOException {
+        if (key.channel() instanceof ServerSocketChannel server) {
+            SocketChannel connection = server.accept();
+            connection.configureBlocking(false);
+            connection.register(selector, SelectionKey.OP_READ, ByteBuffer.allocate(4096));
+            return;
+        }
+        ByteBuffer buffer = (ByteBuffer) key.attachment();
+        SocketChannel connection = (SocketChannel) key.channel();
+        if (connection.read(buffer) < 0) {
+            close(key);
+            return;
+        }
+        // The requests of these tests have no body.
+        String got = new String(buffer.array(), 0, buffer.position(), StandardCharsets.ISO_8859_1);
+        if (got.endsWith("\r\n\r\n")) {
+            buffer.clear();
+            connection.write(ByteBuffer.wrap(ANSWER));
+        }
+    }
+
+    private static void close(SelectionKey key) {
+        try {
+            key.channel().close();
+        } catch (IOException e) {
+            // It is of no use either way.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
+    }
+}
