Requests not served say why; one still open past its expiry is failed by the client's side

Cause: while the thread that decides was busy, even the answer at expiry waited behind it (Owner.run handles a whole list before balancer.wake), and the log had no line for a request that was rejected, failed or left open. Changed: Ending names why a request is not served, set where that is decided, logged with trace, class, attempts, age and time left, five a second at the most. Same class: X-Expires-In-Ms was set when an attempt was decided (Backends.begin), so a connection that came up 0.25 s later told a server more than its client had left; the head is made when it is written.

--- a/src/main/java/lemondrift/decide/Admission.java
+++ b/src/main/java/lemondrift/decide/Admission.java
@@ -41,6 +41,7 @@
         if (wait > limit && selection.drawsOthers(x, now)) {
             offer(x, now, turn);
         } else if (wait > limit) {
+            x.ending = x.best < 0 ? Ending.NO_BACKEND : Ending.WAIT_TOO_LONG;
             giveUp(x, Math.min(wait, estimate.window), now, turn);
         } else {
             super.offer(x, now, turn);
--- a/src/main/java/lemondrift/decide/Expiry.java
+++ b/src/main/java/lemondrift/decide/Expiry.java
@@ -52,6 +52,7 @@
         if (!x.over && now < x.contract) {
             offer(x, now, turn);
         } else {
+            x.ending = Ending.NO_TIME_LEFT;
             giveUp(x, 0, now, turn);
         }
     }
@@ -93,6 +94,7 @@
         while (wakeAt() <= now) {
             Exchange x = open.poll();
             if (!x.begun) {
+                x.ending = Ending.EXPIRED;
                 giveUp(x, 0, now, turn);
             }
         }
--- a/src/main/java/lemondrift/decide/Repeats.java
+++ b/src/main/java/lemondrift/decide/Repeats.java
@@ -25,6 +25,7 @@
     void offer(Exchange x, double now, Turn turn) {
         boolean repeat = x.forwards > 0;
         if (repeat && (x.forwards >= x.terms.forwards() || credit < 1)) {
+            x.ending = credit < 1 ? Ending.RETRY_BUDGET_SPENT : Ending.ATTEMPTS_USED;
             giveUp(x, 0, now, turn);
             return;
         }
--- /dev/null
+++ b/src/main/java/lemondrift/model/Ending.java
@@ -0,0 +1,21 @@
+package lemondrift.model;
+
+/** Why a request was rejected or failed instead of being answered by a backend; for logs and metrics. */
+public enum Ending {
+    /** Its useful time had passed before another attempt could be made. */
+    NO_TIME_LEFT,
+    /** It was still open when its client stopped waiting. */
+    EXPIRED,
+    /** The wait to expect was longer than its class may wait. */
+    WAIT_TOO_LONG,
+    /** No backend may take it. */
+    NO_BACKEND,
+    /** It has had all attempts that are allowed. */
+    ATTEMPTS_USED,
+    /** Retries have had their share of the traffic. */
+    RETRY_BUDGET_SPENT,
+    /** The process ends. */
+    SHUTDOWN,
+    /** The decisions had not answered it by its expiry, so the client's side did. */
+    OVERDUE
+}
--- a/src/main/java/lemondrift/model/Exchange.java
+++ b/src/main/java/lemondrift/model/Exchange.java
@@ -23,6 +23,8 @@
     public int[] asked;
     public double keptUntil;
     public int asks, draws;
+    /** Why it was rejected or failed; null where it was not. */
+    public Ending ending;
 
     public Exchange(long id, int grade, int tenant, double arrived, double timeLeft) {
         this(id, grade, tenant, arrived, timeLeft, false);
--- a/src/main/java/lemondrift/serve/Backends.java
+++ b/src/main/java/lemondrift/serve/Backends.java
@@ -94,9 +94,8 @@
             owner.ended(f, Outcome.MOOT, 0, null, null);
             return;
         }
-        long milliseconds = Math.round((upload == null ? f.timeOut : within) * 1000);
         Call[] made = new Call[1];
-        Call call = Call.passing(links(f.backend, to), request(taken, milliseconds), MOST_BODY,
+        Call call = Call.passing(links(f.backend, to), request(taken), MOST_BODY,
                 config.connectTimeout(), within, PATIENCE * within, () -> awaited.test(taken),
                 tally::dispatched, answer -> {
                     calls.remove(f);
@@ -114,7 +113,13 @@
     }
 
     /** The request as it came, but for what belongs to one connection and the time there is for it. */
-    private static Call.Request request(Taken taken, long milliseconds) {
+    private static Call.Request request(Taken taken) {
+        Upload upload = taken.upload();
+        Call.Head head = upload == null ? left -> head(taken, left) : left -> head(taken, upload.within);
+        return new Call.Request(head, taken.body(), upload);
+    }
+
+    private static byte[] head(Taken taken, double left) {
         HttpServerExchange client = taken.client();
         String query = client.getQueryString();
         StringBuilder head = new StringBuilder(256).append(client.getRequestMethod()).append(' ')
@@ -125,7 +130,7 @@
                 head.append(values.getHeaderName()).append(": ").append(values.get(i)).append("\r\n");
             }
         }
-        head.append(EXPIRES).append(": ").append(milliseconds).append("\r\n");
+        head.append(EXPIRES).append(": ").append(Math.max(1, Math.round(left * 1000))).append("\r\n");
         if (taken.upload() != null && taken.upload().isChunked()) {
             head.append("Transfer-Encoding: chunked\r\n");
         } else if (taken.upload() != null) {
@@ -133,8 +138,7 @@
         } else if (taken.body().length > 0 || !client.getRequestMethod().equals(Methods.GET)) {
             head.append("Content-Length: ").append(taken.body().length).append("\r\n");
         }
-        byte[] bytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        return new Call.Request(bytes, taken.body(), taken.upload());
+        return head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
     void cancel(Forward f) {
--- a/src/main/java/lemondrift/serve/Call.java
+++ b/src/main/java/lemondrift/serve/Call.java
@@ -20,15 +20,24 @@
  */
 final class Call implements Pieces {
     /** What is to be sent; the upload, if any, follows in place of a body. */
-    record Request(byte[] head, byte[] body, Upload upload) {
+    record Request(Head head, byte[] body, Upload upload) {
         Request(byte[] head) {
-            this(head, new byte[0], null);
+            this(left -> head, new byte[0], null);
         }
     }
 
+    /** Makes a request's head once it can be written; so many seconds are left for its answer. */
+    interface Head {
+        byte[] within(double seconds);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(Call.class);
+    /** Stands for a head that is not made yet; it is never written. */
+    private static final ByteBuffer UNWRITTEN = ByteBuffer.allocate(1).asReadOnlyBuffer();
 
     private final Links links;
+    private final Head head;
+    /** The head, once it can be written, and the body. */
     private final ByteBuffer[] request;
     private final Upload upload;
     private Relay uploading;
@@ -50,7 +59,8 @@
     private Call(Links links, Request request, int most, boolean mayPass, Runnable written,
             Consumer<Answer> end) {
         this.links = links;
-        this.request = new ByteBuffer[] {ByteBuffer.wrap(request.head), ByteBuffer.wrap(request.body)};
+        head = request.head;
+        this.request = new ByteBuffer[] {UNWRITTEN, ByteBuffer.wrap(request.body)};
         upload = request.upload;
         this.reader = new AnswerReader(most, mayPass);
         this.written = written;
@@ -144,6 +154,8 @@
             unsent();
             return;
         }
+        // Danger: the time that was left before the connection came up is more than its client has now.
+        request[0] = ByteBuffer.wrap(head.within(began + within - links.clock.now()));
         link.connection.getSourceChannel().setReadListener(source -> read());
         link.connection.getSourceChannel().resumeReads();
         link.connection.getSinkChannel().setWriteListener(sink -> write());
--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -28,12 +28,15 @@
 import java.util.function.Consumer;
 import lemondrift.body.Holding;
 import lemondrift.door.Intake;
+import lemondrift.model.Ending;
 import lemondrift.model.Exchange;
 import lemondrift.model.Settings;
 import lemondrift.model.Terms;
 import lemondrift.model.Word;
 import lemondrift.settings.Grades;
 import lemondrift.tally.Tally;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -45,11 +48,14 @@
 
 /** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
 final class Front {
+    private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
     private static final HttpString RETRY = new HttpString("X-Second-Try");
     private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
     private static final HttpString TENANT = new HttpString("X-Customer");
+    /** So many requests that are not served have a line in the log in one second. */
+    private static final int LOGGED_ENDINGS = 5;
     /** Bytes of the longest request. */
     private static final long LONGEST_BODY = 40 << 20;
     /** Bytes of one that are held, and the share of the proxy's memory that all of them may have. */
@@ -79,6 +85,9 @@
     /** In its place where the process was given a socket. */
     private InheritedServer inherited;
     private long taken;
+    /** Since when the requests that were not served are counted, and how many there are. */
+    private double endingsSince = Double.NEGATIVE_INFINITY;
+    private int endings;
     private volatile boolean draining;
     /** When the last answers are to be out. */
     private volatile double lastAnswers = Double.POSITIVE_INFINITY;
@@ -408,10 +417,24 @@
                 // Danger: what waited while the process stood still may have been left by its client since.
                 lookAhead(connection);
             }
-            offer(new Taken(x, client, body, null));
+            Taken taken = new Taken(x, client, body, null);
+            visitor.answersOverdue = () -> answerOverdue(taken);
+            offer(taken);
         });
     }
 
+    /** Fails a request that the decisions have not answered by its expiry, whatever keeps them. */
+    private void answerOverdue(Taken taken) {
+        if (!awaits(taken)) {
+            return;
+        }
+        Exchange x = taken.exchange();
+        x.ending = Ending.OVERDUE;
+        tally.answeredOverdue();
+        giveUp(taken.client(), false, 0);
+        owner.left(x);
+    }
+
     /** What is to be done before an exchange is decided; set before listening. */
     void first(Runnable task) {
         first = task;
@@ -430,6 +453,7 @@
         if (shed == null) {
             intake.waits(taken, end);
         } else {
+            x.ending = Ending.WAIT_TOO_LONG;
             giveUp(taken.client(), true, shed.retryAfter());
         }
     }
@@ -582,8 +606,33 @@
         }
     }
 
+    /** Why requests are not served, as far as it can be read; the rest of a second is counted. */
+    private void log(HttpServerExchange client, boolean shed) {
+        double now = clock.now();
+        if (now >= endingsSince + 1) {
+            endingsSince = now;
+            if (endings > LOGGED_ENDINGS) {
+                LOG.info("not served, and not logged: {} requests, overdue so far: {}",
+                        endings - LOGGED_ENDINGS, tally.overdue());
+            }
+            endings = 0;
+        }
+        Exchange x = client.getAttachment(VISITOR).exchange;
+        if (++endings <= LOGGED_ENDINGS && x != null) {
+            LOG.info("not served trace={} class={} {}={} attempts={} age={}s left={}s",
+                    only(client.getRequestHeaders(), TRACE), only(client.getRequestHeaders(), GRADE),
+                    shed ? "rejected" : "failed", x.ending, x.forwards, seconds(now - x.arrived),
+                    seconds(x.expiry - now));
+        }
+    }
+
+    private static String seconds(double span) {
+        return String.valueOf(Math.round(span * 1000) / 1000.0);
+    }
+
     /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
     void giveUp(HttpServerExchange client, boolean shed, double retryAfter) {
+        log(client, shed);
         if (shed && retryAfter > 0) {
             client.getResponseHeaders().put(Headers.RETRY_AFTER,
                     String.valueOf(Math.ceil(retryAfter * 1000) / 1000));
--- a/src/main/java/lemondrift/serve/Visitors.java
+++ b/src/main/java/lemondrift/serve/Visitors.java
@@ -37,6 +37,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Visitors.class);
     /** How often the door is looked after while it drains, for each time that it asks for. */
     private static final int DRAINING_SWEEPS = 4;
+    /** Seconds after its expiry after which a request is answered here if the decisions have not done so. */
+    private static final double OVERDUE = 0.1;
     /** Seconds between two lines of the log about a crowd. */
     private static final double TELLS = 1;
 
@@ -49,6 +51,8 @@
         private boolean whole;
         /** What is open on it, if anything, and under which id. */
         Exchange exchange;
+        /** Answers it when it is overdue; null where nothing is open that has come whole. */
+        Runnable answersOverdue;
         private String trace;
         /** What the open exchange brought; below 0 where there was none. */
         private double benefit = -1;
@@ -202,6 +206,7 @@
                 upload = null;
             }
             exchange = null;
+            answersOverdue = null;
             trace = null;
             return x;
         }
@@ -335,10 +340,23 @@
     private void sweep() {
         if (!stopped) {
             door.sweep(clock.now());
+            answerOverdue(clock.now());
             tell();
         }
     }
 
+    /** Danger: a request is owed its answer in time, whatever the decisions are busy with. */
+    private void answerOverdue(double now) {
+        if (traces.isEmpty()) {
+            return;
+        }
+        for (Visitor each : byIndex) {
+            if (each != null && each.answersOverdue != null && now > each.exchange.expiry + OVERDUE) {
+                each.answersOverdue.run();
+            }
+        }
+    }
+
     /** A line a second at the most, while there is a crowd. */
     private void tell() {
         double now = clock.now();
--- a/src/main/java/lemondrift/tally/Tally.java
+++ b/src/main/java/lemondrift/tally/Tally.java
@@ -17,7 +17,7 @@
             long targetsDisabled, long reloadSuccess, long reloadFailure) {}
 
     private final Map<String, long[]> replies = new LinkedHashMap<>();
-    private long taken, ended, dispatches, targets, targetsDisabled, reloadSuccess, reloadFailure;
+    private long taken, ended, overdue, dispatches, targets, targetsDisabled, reloadSuccess, reloadFailure;
 
     /** Names what is counted from now on; what is not named any more keeps its counts. */
     public void grades(List<String> names) {
@@ -33,6 +33,16 @@
         ended++;
     }
 
+    /** One was answered by the client's side, as the decisions had not done so by its expiry. */
+    public void answeredOverdue() {
+        overdue++;
+    }
+
+    /** How many were. */
+    public long overdue() {
+        return overdue;
+    }
+
     /** A reply is out whole; one of a grade that nobody has named counts nowhere. */
     public void replied(String grade, Reply reply) {
         long[] counts = replies.get(grade);
--- a/src/test/java/lemondrift/serve/CrossingsTest.java
+++ b/src/test/java/lemondrift/serve/CrossingsTest.java
@@ -234,7 +234,8 @@
         }
         assertEquals(List.of(), List.copyOf(failed));
         nothingIsInHand();
-        assertEquals(0, concurrent());
+        // What a client sent before it left may be read after such a look; what is left behind stays.
+        awaitOnIo(0);
         for (int i = 0; i < 3; i++) {
             int status = send(request("look").setHeader("X-Trace-Id", "same-" + i)).statusCode();
             assertNotEquals(400, status, "the id is free");
@@ -287,6 +288,40 @@
         nothingIsInHand();
     }
 
+    /** Danger: a backend works on for a client that has long gone, by a time that passed in a handshake. */
+    @Test
+    void theTimeToldToABackendIsWhatIsLeftWhenItsConnectionIsUp() throws Exception {
+        lateConnections();
+        StandIn backend = backend(OK);
+        start(backend);
+        var answer = http.sendAsync(request("look").build(),
+                java.net.http.HttpResponse.BodyHandlers.ofString());
+        LateDial.Up up = dial.next();
+        Thread.sleep(600);
+        letUp(up);
+        assertEquals(200, answer.get(10, TimeUnit.SECONDS).statusCode());
+        String told = backend.requests.take().replaceFirst("(?s).*X-Expires-In-Ms: (\\d+)\r\n.*", "$1");
+        assertTrue(Integer.parseInt(told) <= contractTime - 600, told);
+    }
+
+    /** Danger: a request is owed its answer in time, whatever the decisions are busy with. */
+    @Test
+    void whoTheDecisionsLeaveOpenAtItsExpiryIsFailedAndNeverSent() throws Exception {
+        expiry = 500;
+        contractTime = 400;
+        StandIn backend = backend(OK);
+        start(backend);
+        CountDownLatch decides = new CountDownLatch(1);
+        proxy.onOwner(() -> awaits(decides));
+        try (Socket client = client()) {
+            write(client, get("a").replace("60000", "300"));
+            assertTrue(read(client).startsWith("HTTP/1.1 502"), "no promise, as it may have been sent");
+            decides.countDown();
+            nothingIsInHand();
+            assertTrue(backend.requests.isEmpty());
+        }
+    }
+
     @Test
     void whatWaitedForAConnectionWhenItsBackendLeftGoesElsewhere() throws Exception {
         toldWhileOneWaits(port -> port, "leaving");
