--- a/src/main/java/lemondrift/decide/Balancer.java
+++ b/src/main/java/lemondrift/decide/Balancer.java
@@ -46,13 +46,18 @@
     }
 
     public Turn backendsListed(double now, boolean whole, boolean stale, List<Listed> lines) {
-        fleet.listed(whole, lines);
-        estimate.listed();
-        eligibility.listed(now);
+        backendsChanged(now, whole, lines);
         lists.listed(stale, now);
         return wake(now);
     }
 
+    /** Some lines of a list of which more come; backendsListed ends it. */
+    public void backendsChanged(double now, boolean whole, List<Listed> lines) {
+        fleet.listed(whole, lines);
+        estimate.listed();
+        eligibility.listed(lines, now);
+    }
+
     public Turn listFailed(double now) {
         return turn(now, () -> lists.failed(now, turn));
     }
--- a/src/main/java/lemondrift/decide/Eligibility.java
+++ b/src/main/java/lemondrift/decide/Eligibility.java
@@ -35,13 +35,18 @@
         supposed = estimate.window / 2;
     }
 
-    void listed(double now) {
-        stated(List.of());
-        owed = Arrays.copyOf(owed, fleet.size);
-        owedAt = Arrays.copyOf(owedAt, fleet.size);
-        judgedAt = Arrays.copyOf(judgedAt, fleet.size);
-        IntStream.range(0, fleet.size).filter(i -> fleet.started[i] >= fleet.startSeen[i])
-                .forEach(i -> startAfresh(i, now));
+    void listed(List<Listed> lines, double now) {
+        if (owed.length < fleet.size) {
+            stated(List.of());
+            owed = Arrays.copyOf(owed, fleet.size);
+            owedAt = Arrays.copyOf(owedAt, fleet.size);
+            judgedAt = Arrays.copyOf(judgedAt, fleet.size);
+        }
+        for (Listed told : lines) {
+            if (fleet.started[told.backend()] >= fleet.startSeen[told.backend()]) {
+                startAfresh(told.backend(), now);
+            }
+        }
     }
 
     void stated(List<Integer> fresh) {
@@ -147,7 +152,11 @@
 
     /** How many of those that are ready a test does not suspend; 0 is that of all outcomes. */
     int sound(int test) {
-        return (int) Arrays.stream(fleet.order).filter(i -> suspendedUntil[test][i] == 0).count();
+        int sound = 0;
+        for (int i : fleet.order) {
+            sound += suspendedUntil[test][i] == 0 ? 1 : 0;
+        }
+        return sound;
     }
 
 }
--- a/src/main/java/lemondrift/decide/Estimate.java
+++ b/src/main/java/lemondrift/decide/Estimate.java
@@ -51,6 +51,9 @@
     }
 
     void listed() {
+        if (report.length == fleet.size) {
+            return;
+        }
         report = Arrays.copyOf(report, fleet.size);
         reportedAt = Arrays.copyOf(reportedAt, fleet.size);
         sends = Arrays.copyOf(sends, fleet.size);
--- a/src/main/java/lemondrift/decide/Fleet.java
+++ b/src/main/java/lemondrift/decide/Fleet.java
@@ -1,13 +1,14 @@
 package lemondrift.decide;
 
 import java.util.*;
-import java.util.stream.IntStream;
 import lemondrift.model.*;
 
 /** What this proxy's list has said of the backends, in parallel arrays under the door's dense index. */
 final class Fleet {
     /** What is stated now; an exchange keeps the terms that it came under. */
     Settings stated;
+    /** For sorting, a score stands above its place in one number, so that no object is made for each. */
+    private static final int SCORE_BITS = 40, PLACE_BITS = 20;
     private final Chance chance;
     int size;
     /** What was last told of each, whether it may be used, and what this proxy has out there; when a probe
@@ -19,46 +20,123 @@
     /** When it last started, as told; 0 is long ago; and what is above all starts that were acted on. */
     double[] started = {}, startSeen = {};
     double meanPower = 1;
-    /** Those that are ready, in this proxy's own random order, its part first; of how many others tell. */
+    /** Those that are ready, in this proxy's own random order, its subset first; of how many others tell. */
     int[] order = {};
     int told;
+    private boolean[] ordered = {};
+    private boolean arranged = true;
 
     Fleet(Settings s, Chance chance) {
         stated = s;
         this.chance = chance;
     }
 
-    /** Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. */
+    /**
+     * Rule 3: whoever is not told ready gets nothing new at once; the grace is slack, not a budget. The work
+     * is that of the lines told, and one plain pass over the order where somebody leaves it.
+     */
     void listed(boolean whole, List<Listed> lines) {
+        boolean leaves = whole;
         Arrays.fill(ready, 0, whole ? size : 0, false);
-        size = Math.max(size, lines.stream().mapToInt(Listed::backend).max().orElse(-1) + 1);
+        grow(lines);
+        for (Listed told : lines) {
+            int i = told.backend();
+            line[i] = told.sized(stated.sizes());
+            leaves |= ready[i] && told.state() != Listed.State.READY;
+            ready[i] = told.state() == Listed.State.READY;
+            started[i] = Math.max(told.fresh() ? 0 : started[i], told.started());
+            startSeen[i] = told.fresh() ? 0 : startSeen[i];
+        }
+        if (leaves) {
+            dropUnready();
+        }
+        append(lines);
+        meanPower = stated.sizes() ? meanSize() : 1;
+        arranged = false;
+    }
+
+    private void grow(List<Listed> lines) {
+        int most = size;
+        for (Listed told : lines) {
+            most = Math.max(most, told.backend() + 1);
+        }
+        if (most == size) {
+            return;
+        }
+        size = most;
         ready = Arrays.copyOf(ready, size);
+        ordered = Arrays.copyOf(ordered, size);
         line = Arrays.copyOf(line, size);
         started = Arrays.copyOf(started, size);
         startSeen = Arrays.copyOf(startSeen, size);
         out = Arrays.copyOf(out, size);
         askedAt = Arrays.copyOf(askedAt, size);
         figure = Arrays.copyOf(figure, size);
-        for (Listed told : lines) {
-            int i = told.backend();
-            line[i] = told.sized(stated.sizes());
-            ready[i] = told.state() == Listed.State.READY;
-            started[i] = Math.max(told.fresh() ? 0 : started[i], told.started());
-            startSeen[i] = told.fresh() ? 0 : startSeen[i];
+    }
+
+    private void dropUnready() {
+        int kept = 0;
+        for (int i : order) {
+            ordered[i] = ready[i];
+            if (ready[i]) {
+                order[kept++] = i;
+            }
         }
-        int kept = (int) Arrays.stream(order).filter(i -> ready[i]).count();
-        order = IntStream.concat(Arrays.stream(order), IntStream.range(0, size)).filter(i -> ready[i])
+        order = Arrays.copyOf(order, kept);
+    }
+
+    /** Puts each that has become ready at a random place. */
+    private void append(List<Listed> lines) {
+        int[] fresh = lines.stream().mapToInt(Listed::backend).filter(i -> ready[i] && !ordered[i]).sorted()
                 .distinct().toArray();
-        meanPower = Arrays.stream(order).mapToDouble(i -> line[i].size()).average().orElse(1);
-        IntStream.range(kept, order.length).forEach(j -> swap(j, (int) (chance.next() * (j + 1))));
-        told = (int) Arrays.stream(order).filter(i -> line[i].used() > 0).count();
+        int kept = order.length;
+        order = Arrays.copyOf(order, kept + fresh.length);
+        System.arraycopy(fresh, 0, order, kept, fresh.length);
+        for (int j = kept; j < order.length; j++) {
+            ordered[order[j]] = true;
+            swap(j, (int) (chance.next() * (j + 1)));
+        }
+    }
+
+    private double meanSize() {
+        double sum = 0;
+        for (int i : order) {
+            sum += line[i].size();
+        }
+        return order.length == 0 ? 1 : sum / order.length;
+    }
+
+    /** Counts and puts first whom this proxy uses, once for all lists that came since the last pick. */
+    void arrange() {
+        if (arranged) {
+            return;
+        }
+        arranged = true;
+        told = 0;
+        for (int i : order) {
+            told += line[i].used() > 0 ? 1 : 0;
+        }
         home();
     }
 
-    /** Puts first whom this proxy has drawn lots to use. Danger: others tell of those, and of no more. */
+    /** Puts first whom this proxy has the least scores for. Danger: others tell of those, and of no more. */
     void home() {
-        order = IntStream.of(order).boxed().sorted((a, b) -> Double.compare(line[a].lot(), line[b].lot()))
-                .mapToInt(i -> i).toArray();
+        long[] places = new long[order.length];
+        boolean scored = false;
+        for (int j = 0; j < order.length; j++) {
+            double score = line[order[j]].lot();
+            scored |= score > 0;
+            places[j] = (long) (score * (1L << SCORE_BITS)) << PLACE_BITS | j;
+        }
+        if (!scored) {
+            return;
+        }
+        Arrays.sort(places);
+        int[] former = order;
+        order = new int[former.length];
+        for (int j = 0; j < order.length; j++) {
+            order[j] = former[(int) (places[j] & (1 << PLACE_BITS) - 1)];
+        }
     }
 
     void swap(int a, int b) {
--- a/src/main/java/lemondrift/decide/Selection.java
+++ b/src/main/java/lemondrift/decide/Selection.java
@@ -8,6 +8,8 @@
     /** The share that a utilisation higher by one makes late, an old tie's width, how much a fresh report is
      * trusted, for which share of the window an answer is awaited, and what of cold ones is for benefit. */
     private static final double HARM = 0.5, TIE = 0.125, FRESH = 0.6, PATIENCE = 1.0 / 32, SPARE = 0.25;
+    /** So many times the part are drawn at the most to find others that can take a request. */
+    private static final int LOOKED_AT = 32;
 
     private final Fleet fleet;
     private final Estimate estimate;
@@ -25,6 +27,7 @@
 
     /** How many it uses: where others tell all that they tell of, else those that it hears from often. */
     private int part(double now) {
+        fleet.arrange();
         return estimate.othersHeard && fleet.told > 0 ? fleet.told : (int) Math.min(fleet.order.length,
                 Math.max(Estimate.PART, estimate.ownRate.at(now) * estimate.memory));
     }
@@ -102,7 +105,9 @@
     boolean drawsOthers(Exchange x, double now) {
         // Danger: of the rest others tell nothing, so that the busiest there would look as idle as can be.
         int part = part(now), found = 0, most = estimate.othersHeard && x.best >= 0 ? 0 : part;
-        for (int j = part; j < fleet.order.length && found < most && x.draws == 0; j++) {
+        // Danger: where nobody may take anything, to look at thousands would hold up all other answers.
+        int end = (int) Math.min(fleet.order.length, part + (long) LOOKED_AT * Math.max(part, Estimate.PART));
+        for (int j = part; j < end && found < most && x.draws == 0; j++) {
             fleet.swap(j, j + (int) (chance.next() * (fleet.order.length - j)));
             if (mayTake(x, fleet.order[j], now)) {
                 fleet.swap(found++, j);
--- a/src/main/java/lemondrift/lab/Module.java
+++ b/src/main/java/lemondrift/lab/Module.java
@@ -11,7 +11,7 @@
 import lemondrift.model.Settings;
 import lemondrift.model.Turn;
 import lemondrift.peer.Holdings;
-import lemondrift.peer.Shares;
+import lemondrift.peer.SubsetAssignment;
 import lemondrift.recovery.Hello;
 import lemondrift.recovery.Pace;
 import lemondrift.recovery.Recovery;
@@ -26,7 +26,7 @@
     private final int self;
     /** What it tells the others and hears of them, its backends' tags being their indexes; or null. */
     private Holdings holdings;
-    private Shares shares;
+    private SubsetAssignment subsets;
     /** Its way back after its start; null where it asks nobody. */
     private Recovery recovery;
     private final List<Holdings.Telling> said = new ArrayList<>();
@@ -40,9 +40,9 @@
         balancer = new Balancer(settings, seed);
         this.self = self;
         if (tells && balancer.isToBeTold()) {
-            shares = new Shares(settings.balancers(), PART);
+            subsets = new SubsetAssignment(settings.balancers(), PART);
             holdings = new Holdings(settings.balancers(), self, 1 + self, PACE * settings.window(),
-                    FORGET * settings.window(), shares,
+                    FORGET * settings.window(), subsets,
                     tag -> balancer.othersHold(tag, holdings.others(tag)));
         }
     }
@@ -113,7 +113,7 @@
         if (holdings == null) {
             return balancer.backendsListed(now, whole, false, lines);
         }
-        return sent(balancer.backendsListed(now, whole, false, shares.drawn(self, whole, lines, i -> i)));
+        return sent(balancer.backendsListed(now, whole, false, subsets.assigned(self, whole, lines, i -> i)));
     }
 
     @Override
--- a/src/main/java/lemondrift/peer/Holdings.java
+++ b/src/main/java/lemondrift/peer/Holdings.java
@@ -14,9 +14,9 @@
 
 /**
  * What the proxies of one bank have out, told in datagrams: each tells another the backends of its exchanges
- * that are out, as far as the other uses them (Shares), whenever that has changed, at a pace. So what a proxy
- * tells does not grow with their number. A telling says how things stand, not what happened, so that one
- * which is lost or comes twice does no harm. Backends go by a tag of their id. Times are in seconds.
+ * that are out, as far as the other uses them (SubsetAssignment), whenever that has changed, at a pace. So
+ * what a proxy tells does not grow with their number. A telling says how things stand, not what happened, so
+ * that one which is lost or comes twice does no harm. Backends go by a tag of their id. Times are in seconds.
  */
 public final class Holdings {
     public static final int MOST_BYTES = 256;
@@ -53,18 +53,20 @@
     private final int self, start;
     private final double pace, forget;
     private final IntConsumer changed;
-    private final Shares shares;
+    private final SubsetAssignment subsets;
     private final Map<Integer, Integer> others = new HashMap<>(), own = new HashMap<>();
     /** When another was last heard, and the mean time between two tellings. */
     private double latestAt = Double.NEGATIVE_INFINITY, gap;
     private final Queue<Lingering> lingering = new ArrayDeque<>();
+    /** How many linger, by tag. */
+    private final Map<Integer, Integer> lingeringByTag = new HashMap<>();
 
     /**
      * The number of proxies, which of them this one is and its start number, the least seconds between two
      * tellings to one, the seconds after which what one has told is forgotten, who uses which backends, and
      * who hears of each tag of which the number out at the others has changed.
      */
-    public Holdings(int proxies, int self, long start, double pace, double forget, Shares shares,
+    public Holdings(int proxies, int self, long start, double pace, double forget, SubsetAssignment subsets,
             IntConsumer changed) {
         peers = new Peer[proxies];
         Arrays.setAll(peers, i -> new Peer());
@@ -73,7 +75,7 @@
         this.pace = pace;
         this.forget = forget;
         gap = forget;
-        this.shares = shares;
+        this.subsets = subsets;
         this.changed = changed;
     }
 
@@ -99,26 +101,28 @@
      */
     public void givenUp(int tag, double now) {
         lingering.add(new Lingering(tag, now + LINGER * forget));
+        lingeringByTag.merge(tag, 1, Integer::sum);
         changed.accept(tag);
     }
 
     private void lapse(double now) {
         while (!lingering.isEmpty() && lingering.peek().until <= now) {
             int tag = lingering.remove().tag;
+            lingeringByTag.computeIfPresent(tag, (t, n) -> n > 1 ? n - 1 : null);
             ended(tag);
             changed.accept(tag);
         }
     }
 
     private void changes(int tag) {
-        for (int user : shares.users(tag)) {
+        for (int user : subsets.users(tag)) {
             peers[user].dirty |= user != self;
         }
     }
 
     /** How many exchanges the others have out at a backend, and how many of its own it has given up there. */
     public int others(int tag) {
-        return others.getOrDefault(tag, 0) + (int) lingering.stream().filter(each -> each.tag == tag).count();
+        return others.getOrDefault(tag, 0) + lingeringByTag.getOrDefault(tag, 0);
     }
 
     /**
@@ -242,6 +246,6 @@
     }
 
     private boolean uses(int proxy, int tag) {
-        return Arrays.stream(shares.users(tag)).anyMatch(user -> user == proxy);
+        return subsets.uses(proxy, tag);
     }
 }
--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -64,6 +64,13 @@
                 recovery, shadow);
     }
 
+    /** The same without the list of before, which is thousands of lines on a large fleet. */
+    Config withoutKnown() {
+        return new Config(name, listen, admin, discovery, seed, sockets, memory, settings, gradeNames,
+                tenantNames, locations, reportNames, idle, connectTimeout, none(), stated, door, peers,
+                recovery, shadow);
+    }
+
     /** The same with another door. */
     Config with(Bounds other) {
         return with(other, peers, recovery);
@@ -153,7 +160,11 @@
 
     private static Config read(JsonObject json) {
         Map<String, String> pairs = new HashMap<>();
-        flatten("", json, pairs);
+        // Danger: a list of thousands is no setting, and would take longer than all else of a start.
+        JsonObject stated = new JsonObject();
+        json.entrySet().stream().filter(each -> !each.getKey().equals("known"))
+                .forEach(each -> stated.add(each.getKey(), each.getValue()));
+        flatten("", stated, pairs);
         SettingsReader all = new SettingsReader(pairs);
         Map<String, String> inner = new HashMap<>();
         flatten("", json.has("settings") ? json.get("settings") : new JsonObject(), inner);
@@ -167,23 +178,20 @@
                 gradeNames(inner),
                 names(inner, "realms"), reader.list("localities"), reader.list("report.names"),
                 reader.number("limits.connIdle", 10_000) / 1000,
-                reader.number("limits.connectTimeout", 250) / 1000, known(json), stated(pairs),
+                reader.number("limits.connectTimeout", 250) / 1000, known(json), pairs,
                 DoorFile.usual(connections(sockets), settings), null, null, null);
     }
 
-    /** Without the list, which has its own ways to change. */
-    private static Map<String, String> stated(Map<String, String> pairs) {
-        Map<String, String> stated = new HashMap<>(pairs);
-        stated.keySet().removeIf(key -> key.startsWith("known."));
-        return stated;
-    }
-
     /** Danger: where lists come on request, a proxy that is told of none would never ask for one. */
     private static JsonObject known(JsonObject json) {
+        return json.has("known") ? json.getAsJsonObject("known") : none();
+    }
+
+    private static JsonObject none() {
         JsonObject none = new JsonObject();
         none.addProperty("complete", true);
         none.add("members", new JsonArray());
-        return json.has("known") ? json.getAsJsonObject("known") : none;
+        return none;
     }
 
     double longestExpiry() {
--- a/src/main/java/lemondrift/serve/Directory.java
+++ b/src/main/java/lemondrift/serve/Directory.java
@@ -1,8 +1,5 @@
 package lemondrift.serve;
 
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonPrimitive;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,11 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import lemondrift.model.Listed;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Backends' ids, which end here, their dense indexes, and where this proxy reaches each. */
+/**
+ * Backends' ids, which end here, their dense indexes, and where this proxy reaches each. What one line of a
+ * list costs does not go with the number of backends.
+ */
 final class Directory {
     private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
@@ -23,10 +24,12 @@
         private final int index;
         private final String id;
         private InetSocketAddress address;
-        private boolean gone, moved;
+        private boolean gone, moved, logged;
         /** The last that was read of it. */
         private Listed line;
         private int held, location, cell;
+        /** The number of the list that has named it last. */
+        private int namedBy;
 
         private Entry(int index, String id) {
             this.index = index;
@@ -37,6 +40,10 @@
     private final List<String> locations;
     private final Map<String, Entry> byId = new HashMap<>();
     private final List<Entry> entries = new ArrayList<>();
+    private final Map<InetSocketAddress, Set<Entry>> byAddress = new HashMap<>();
+    /** Indexes of those that have gone and that nothing speaks of any more. */
+    private final TreeSet<Integer> free = new TreeSet<>();
+    private int listed, held, lists;
 
     Directory(List<String> locations) {
         this.locations = locations;
@@ -52,7 +59,12 @@
 
     /** How many backends the list has, draining ones too. */
     int listed() {
-        return (int) entries.stream().filter(e -> !e.gone).count();
+        return listed;
+    }
+
+    /** How many indexes have been given out. */
+    int size() {
+        return entries.size();
     }
 
     /** Whether it has another address than when this was asked last. */
@@ -64,88 +76,126 @@
 
     /** How often something speaks of any of them. */
     int held() {
-        return entries.stream().mapToInt(e -> e.held).sum();
+        return held;
     }
 
     /** Something speaks of the backend by its index, which stands for it until it is let go. */
     void hold(int backend) {
-        entries.get(backend).held++;
+        Entry entry = entries.get(backend);
+        if (!entry.logged) {
+            // Once it is used, not when it is listed: a line for each of thousands would fill the log.
+            entry.logged = true;
+            LOG.info("backend {} is {} at {}", backend, entry.id, entry.address);
+        }
+        entry.held++;
+        held++;
+        keepFree(entry);
     }
 
     void letGo(int backend) {
-        entries.get(backend).held--;
+        Entry entry = entries.get(backend);
+        entry.held--;
+        held--;
+        keepFree(entry);
     }
 
-    /**
-     * The lines of a list in discovery's form, and one more for each backend that has gone without a word.
-     * Danger: a line that can't be read must not cost the others.
-     */
-    List<Listed> listed(JsonObject list, boolean whole) {
-        List<Listed> lines = new ArrayList<>();
-        Set<Entry> named = new HashSet<>();
-        for (JsonElement member : list.getAsJsonArray("members")) {
-            try {
-                named.add(line(member.getAsJsonObject(), lines));
-            } catch (RuntimeException e) {
-                LOG.warn("a line of the list is passed over: {}: {}", member, e.toString());
-                // Danger: in a whole list its backend would be taken for one that has gone.
-                Entry known = known(member);
-                if (known != null && !known.gone) {
-                    named.add(known);
-                    lines.add(known.line.again());
-                }
-            }
+    private void keepFree(Entry entry) {
+        if (entry.gone && entry.held == 0) {
+            free.add(entry.index);
+        } else {
+            free.remove(entry.index);
         }
-        if (whole) {
-            entries.stream().filter(e -> !e.gone && !named.contains(e)).forEach(e -> lines.add(gone(e)));
+    }
+
+    /** The number of a list that is followed from now on; marks are by it. */
+    int nextList() {
+        return ++lists;
+    }
+
+    /** A list of a number names a backend; whether that says anything new of it. */
+    boolean names(int list, MemberList.Member member) {
+        Entry entry = byId.get(member.id());
+        if (entry == null) {
+            // One that was never here and is gone already is nobody.
+            return member.isReadable() && member.state() != Listed.State.GONE;
         }
-        return lines;
-    }
-
-    /** Whom a line is about; null where it does not tell. */
-    private Entry known(JsonElement member) {
-        return member instanceof JsonObject line && line.get("id") instanceof JsonPrimitive id
-                ? byId.get(id.getAsString()) : null;
-    }
-
-    private Entry line(JsonObject member, List<Listed> lines) {
-        String id = member.get("id").getAsString();
-        Listed.State state = switch (member.get("phase").getAsString()) {
-            case "active" -> Listed.State.READY;
-            case "leaving" -> Listed.State.DRAINING;
-            default -> Listed.State.GONE;
-        };
-        // A backend that has left needs no address.
-        InetSocketAddress address = state == Listed.State.GONE && !member.has("host_port") ? null
-                : Config.address("host_port", member.get("host_port").getAsString());
-        double started = number(member, "up_since_ms").doubleValue() / 1000;
-        String locality = member.has("locality") ? member.get("locality").getAsString() : null;
-        Integer cell = member.has("cell") ? number(member, "cell").intValue() : null;
-        // Danger: what can't be read from here on would be followed by half.
-        Entry entry = byId.get(id);
+        entry.namedBy = list;
+        return member.isReadable() && !says(entry, member);
+    }
+
+    /** Whether all that a line says is known. */
+    private boolean says(Entry entry, MemberList.Member member) {
+        return entry.line != null && entry.line.state() == member.state()
+                && (member.address() == null || member.address().equals(entry.address))
+                && location(entry, member) == entry.location && cell(entry, member) == entry.cell
+                && entry.line.started() == member.started() && entry.line.size() == member.size();
+    }
+
+    private int location(Entry entry, MemberList.Member member) {
+        return member.locality() == null ? entry.location
+                : Math.max(0, locations.indexOf(member.locality()));
+    }
+
+    private static int cell(Entry entry, MemberList.Member member) {
+        return member.cell() == null ? entry.cell : member.cell();
+    }
+
+    /** Whether an index stands for a backend that a whole list of a number has not named, and so has gone. */
+    boolean isAbsent(int list, int backend) {
+        Entry entry = entries.get(backend);
+        return !entry.gone && entry.namedBy != list;
+    }
+
+    /** The line of a backend that has gone without a word. */
+    Listed withdrawn(int backend) {
+        return gone(entries.get(backend));
+    }
+
+    /** Follows what a line says, and adds what the decisions are to hear of it. */
+    void follow(MemberList.Member member, List<Listed> lines) {
+        Entry entry = byId.get(member.id());
         boolean fresh = entry == null;
         if (fresh) {
-            if (state == Listed.State.READY) {
+            if (member.state() == Listed.State.READY) {
                 // Danger: what is sent to one that was here before would reach this one under its name.
-                entries.stream().filter(e -> !e.gone && address.equals(e.address))
-                        .forEach(e -> lines.add(gone(e)));
+                for (Entry former : List.copyOf(byAddress.getOrDefault(member.address(), Set.of()))) {
+                    lines.add(gone(former));
+                }
             }
-            entry = entry(id);
-            LOG.info("backend {} is {} at {}", entry.index, id, address);
+            entry = entry(member.id());
         }
-        entry.gone = state == Listed.State.GONE;
-        entry.moved |= !fresh && address != null && !address.equals(entry.address);
-        entry.address = address != null ? address : entry.address;
-        entry.location = locality == null ? entry.location : Math.max(0, locations.indexOf(locality));
-        entry.cell = cell == null ? entry.cell : cell;
-        entry.line = new Listed(entry.index, fresh, entry.location, entry.cell, state, started, size(member));
+        entry.namedBy = lists;
+        entry.moved |= !fresh && member.address() != null && !member.address().equals(entry.address);
+        settle(entry, member.state() == Listed.State.GONE,
+                member.address() != null ? member.address() : entry.address);
+        entry.location = location(entry, member);
+        entry.cell = cell(entry, member);
+        entry.line = new Listed(entry.index, fresh, entry.location, entry.cell, member.state(),
+                member.started(), member.size());
         lines.add(entry.line);
-        return entry;
     }
 
-    private static Listed gone(Entry entry) {
-        entry.gone = true;
-        return new Listed(entry.index, false, entry.location, entry.cell, Listed.State.GONE, 0);
+    private Listed gone(Entry entry) {
+        settle(entry, true, entry.address);
+        entry.line = new Listed(entry.index, false, entry.location, entry.cell, Listed.State.GONE, 0);
+        return entry.line;
+    }
+
+    /** Whether it is there, and where; all that goes by either is kept in step. */
+    private void settle(Entry entry, boolean gone, InetSocketAddress address) {
+        if (!entry.gone && entry.address != null) {
+            byAddress.computeIfPresent(entry.address, (its, same) -> {
+                same.remove(entry);
+                return same.isEmpty() ? null : same;
+            });
+        }
+        listed += (gone ? 0 : 1) - (entry.gone ? 0 : 1);
+        entry.gone = gone;
+        entry.address = address;
+        if (!gone && address != null) {
+            byAddress.computeIfAbsent(address, none -> new HashSet<>(2)).add(entry);
+        }
+        keepFree(entry);
     }
 
     /**
@@ -153,24 +203,16 @@
      * where backends are replaced all day, the figures of all that ever were would fill the memory.
      */
     private Entry entry(String id) {
-        Entry old = entries.stream().filter(e -> e.gone && e.held == 0).findFirst().orElse(null);
-        Entry entry = new Entry(old == null ? entries.size() : old.index, id);
-        if (old == null) {
+        Integer place = free.pollFirst();
+        Entry entry = new Entry(place == null ? entries.size() : place, id);
+        if (place == null) {
             entries.add(entry);
         } else {
-            byId.remove(old.id);
-            entries.set(old.index, entry);
+            byId.remove(entries.get(place).id);
+            entries.set(place, entry);
         }
         byId.put(id, entry);
+        listed++;
         return entry;
     }
-
-    /** Danger: a size that can't be read must not cost the backend, so it counts as not told. */
-    private static double size(JsonObject member) {
-        return member.get("size") instanceof JsonPrimitive size && size.isNumber() ? size.getAsDouble() : 1;
-    }
-
-    private static Number number(JsonObject member, String key) {
-        return member.has(key) ? member.get(key).getAsNumber() : 0;
-    }
 }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -1,9 +1,10 @@
 package lemondrift.serve;
 
-import com.google.gson.JsonObject;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -12,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import lemondrift.decide.Balancer;
+import lemondrift.model.Ending;
 import lemondrift.model.Exchange;
 import lemondrift.model.Forward;
 import lemondrift.model.Listed;
@@ -22,6 +24,7 @@
 import lemondrift.serve.recovery.Comeback;
 import lemondrift.settings.Grades;
 import lemondrift.shadow.Shadow;
+import lemondrift.tally.LoopFigures;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,12 +35,16 @@
     /** How many events are handled before the sockets are told what came of them. */
     private static final int AT_A_TIME = 32;
     private static final double LONGEST_WAIT = 10;
+    /** Seconds in which others may run between two slices of a list. */
+    private static final double BETWEEN_SLICES = 0.001;
     /** How often, in seconds, the log has what watching has counted. */
     private static final double SHOWN = 60;
 
-    /** Something that happened, and the exchange that it is about, if any. */
-    private record Event(Exchange about, Supplier<Turn> call) {}
+    /** Something that happened, when, and the exchange that it is about, if any. */
+    private record Event(LoopFigures.Kind kind, double came, Exchange about, Supplier<Turn> call) {}
 
+    /** Lists that are not followed whole yet, the oldest first. */
+    private final Queue<ListUpdate> updates = new ArrayDeque<>();
     private final BlockingQueue<Event> queue = new ArrayBlockingQueue<>(QUEUED);
     private final Balancer balancer;
     private final Directory directory;
@@ -45,6 +52,7 @@
     private final Hands hands;
     private final Map<Exchange, Taken> open = new HashMap<>();
     private final Thread thread = new Thread(this::run, "owner");
+    private final LoopFigures figures = new LoopFigures();
     /** What others tell and are told; null where they tell nothing. */
     private Tellings tellings;
     /** The way back after the start; null where nobody is asked. */
@@ -148,7 +156,7 @@
     }
 
     void arrived(Taken taken) {
-        put(taken.exchange(), () -> {
+        put(LoopFigures.Kind.ARRIVAL, taken.exchange(), () -> {
             arrived++;
             open.put(taken.exchange(), taken);
             if (shadow != null) {
@@ -168,7 +176,7 @@
 
     /** The answer is the one to pass on if this forward delivers. */
     void ended(Forward f, Outcome outcome, double took, double[] report, Answer answer) {
-        put(f.exchange, () -> {
+        put(LoopFigures.Kind.OUTCOME, f.exchange, () -> {
             boolean wins = outcome == Outcome.DELIVERED && !f.exchange.over;
             Taken taken = open.get(f.exchange);
             if (wins && taken != null) {
@@ -198,7 +206,7 @@
     }
 
     void left(Exchange x) {
-        put(x, () -> {
+        put(LoopFigures.Kind.CLIENT_LEFT, x, () -> {
             if (shadow != null) {
                 watch(s -> s.left(clock.now(), x));
             }
@@ -223,27 +231,47 @@
         });
     }
 
-    void listed(JsonObject list, boolean stale) {
-        put(null, () -> {
-            boolean whole = list.get("complete").getAsBoolean();
-            List<Listed> listed = directory.listed(list, whole);
-            List<Listed> lines = tellings == null ? listed : tellings.drawn(whole, listed);
-            if (shadow != null) {
-                watch(s -> s.listed(clock.now(), whole, stale, lines));
-            }
-            Turn turn = balancer.backendsListed(clock.now(), whole, stale, lines);
-            if (tellings != null) {
-                tellings.listed(lines);
-            }
-            // Danger: what waits for a connection to where it was would reach whoever is there now.
-            lines.stream().filter(line -> line.state() != Listed.State.READY
-                            || directory.hasMoved(line.backend()))
-                    .forEach(line -> hands.letGo(line.backend()));
-            count();
-            return turn;
+    /** A list has come; stale is one of before the start. Applied hears when the decisions have all of it. */
+    void listed(MemberList list, boolean stale, Runnable applied) {
+        put(LoopFigures.Kind.LIST, null, () -> {
+            updates.add(new ListUpdate(directory, list, stale, applied));
+            // What is small is followed at once.
+            return updates.size() == 1 ? nextSlice() : null;
         });
     }
 
+    /** Follows a part of the list that has come first. */
+    private Turn nextSlice() {
+        ListUpdate update = updates.peek();
+        List<Listed> listed = update.slice();
+        List<Listed> lines = tellings == null || listed.isEmpty() ? listed : tellings.assigned(listed);
+        if (shadow != null) {
+            watch(s -> s.listed(clock.now(), false, update.isStale(), lines));
+        }
+        balancer.backendsChanged(clock.now(), false, lines);
+        if (tellings != null) {
+            tellings.listed(lines);
+        }
+        for (Listed line : lines) {
+            // Danger: what waits for a connection to where it was would reach whoever is there now.
+            if (line.state() != Listed.State.READY || directory.hasMoved(line.backend())) {
+                hands.letGo(line.backend());
+            }
+        }
+        return update.isDone() ? endOf(updates.remove()) : null;
+    }
+
+    private Turn endOf(ListUpdate update) {
+        count();
+        if (!update.unreadable().isEmpty()) {
+            LOG.warn("lines of the list are passed over, the first: {}", update.unreadable().get(0));
+        }
+        LOG.info("list followed {} backends={} usable={}", update.told(), directory.listed(),
+                balancer.usable());
+        update.applied();
+        return balancer.backendsListed(clock.now(), false, update.isStale(), List.of());
+    }
+
     /** Other settings hold from now on, for what comes; watched is null where nobody watches. */
     void retune(Settings to, List<String> names, Settings watched) {
         put(null, () -> {
@@ -284,6 +312,7 @@
         put(null, () -> {
             for (Exchange x : List.copyOf(open.keySet())) {
                 if (!x.over) {
+                    x.ending = Ending.SHUTDOWN;
                     carryOut(balancer.clientLeft(clock.now(), x));
                     answer(x, x.forwards == 0, 0);
                     release(x);
@@ -317,8 +346,12 @@
     }
 
     private void put(Exchange about, Supplier<Turn> call) {
+        put(LoopFigures.Kind.OTHER, about, call);
+    }
+
+    private void put(LoopFigures.Kind kind, Exchange about, Supplier<Turn> call) {
         try {
-            queue.put(new Event(about, call));
+            queue.put(new Event(kind, clock.now(), about, call));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -330,7 +363,7 @@
                 double next = tellings == null ? wakeAt : Math.min(wakeAt, tellings.tellAt());
                 next = comeback == null ? next : Math.min(next, comeback.wakeAt());
                 next = shadow == null ? next : Math.min(next, shadow.wakeAt());
-                double wait = Math.min(LONGEST_WAIT, next - clock.now());
+                double wait = Math.min(updates.isEmpty() ? LONGEST_WAIT : BETWEEN_SLICES, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
                 double began = clock.now();
@@ -346,7 +379,11 @@
                     words = IntStream.range(0, settings.grades().size()).mapToObj(this::word).toList();
                 }
                 if (wakeAt <= clock.now()) {
-                    handle(new Event(null, () -> balancer.wake(clock.now())));
+                    handle(new Event(LoopFigures.Kind.TIMER, wakeAt, null, () -> balancer.wake(clock.now())));
+                }
+                // Danger: whatever owes its answer now goes before the list.
+                if (!updates.isEmpty()) {
+                    handle(own(LoopFigures.Kind.LIST, this::nextSlice));
                 }
                 if (shadow != null) {
                     watch(s -> s.wake(clock.now()));
@@ -369,12 +406,33 @@
         }
     }
 
+    /** What nobody has waited for. */
+    private Event own(LoopFigures.Kind kind, Supplier<Turn> call) {
+        return new Event(kind, clock.now(), null, call);
+    }
+
+    /** How it keeps up, as JSON. Any thread. */
+    String figures() {
+        return figures.latest();
+    }
+
     private Word word(int grade) {
         return settings.grades().get(grade) == null ? null : balancer.word(clock.now(), grade);
     }
 
-    /** Danger: an exception in one exchange must not end the proxy, nor leave the exchange unanswered. */
     private void handle(Event event) {
+        double began = clock.now();
+        carryOut(event);
+        double ended = clock.now();
+        figures.handled(event.kind, event.came, began, ended, queue.size());
+        String line = figures.line(ended);
+        if (line != null) {
+            LOG.info("decision loop {}", line);
+        }
+    }
+
+    /** Danger: an exception in one exchange must not end the proxy, nor leave the exchange unanswered. */
+    private void carryOut(Event event) {
         try {
             Turn turn = event.call.get();
             if (turn != null) {
--- a/src/main/java/lemondrift/serve/Proxy.java
+++ b/src/main/java/lemondrift/serve/Proxy.java
@@ -66,7 +66,8 @@
     private volatile Config config;
     /** Until when what came under an earlier configuration may be open. */
     private volatile double formerExpiry;
-    private final JsonObject known;
+    /** The list from before; null once the decisions have been told of it. */
+    private JsonObject known;
     /** Null where the other proxies are told nothing. */
     private final Peers peers;
     private volatile Phase phase = Phase.STARTING;
@@ -81,7 +82,9 @@
     }
 
     /** Its backends' connections are opened by dial, or where that is null on sockets. */
-    Proxy(Config config, XnioWorker worker, Dial dial) {
+    Proxy(Config told, XnioWorker worker, Dial dial) {
+        Config config = told.withoutKnown();
+        known = told.known();
         this.worker = worker;
         XnioIoThread io = worker.getIoThread();
         Dial sockets = (to, opened) -> io.openStreamConnection(to, opened, NO_DELAY);
@@ -98,7 +101,6 @@
         watch = new Watch(config, clock, io, sockets, buffers, owner);
         backends = new Backends(config, clock, io, dial == null ? sockets : dial, buffers, owner,
                 tally, front::awaits);
-        known = config.known();
         peers = config.peers() == null || dial != null || !balancer.isToBeTold() ? null
                 : new Peers(config.peers(), owner);
         if (peers != null) {
@@ -128,7 +130,8 @@
             peers.begin(worker);
             front.first(peers::receive);
         }
-        owner.listed(known, true);
+        owner.listed(MemberList.of(known), true, () -> { });
+        known = null;
         owner.start();
         worker.getIoThread().execute(watch::begin);
         watch.awaitFirst();
@@ -154,7 +157,7 @@
             LOG.warn("holds from the next start only: {}", later);
         }
         formerExpiry = Math.max(formerExpiry, clock.now() + config.longestExpiry());
-        config = next;
+        config = next.withoutKnown();
         owner.retune(next.settings(), next.gradeNames(), next.shadow());
         worker.getIoThread().execute(() -> {
             tally.reloaded(true);
@@ -190,6 +193,11 @@
                 return owner.comeback() == null ? null : owner.comeback().told(clock.now());
             }
 
+            @Override
+            public String loop() {
+                return owner.figures();
+            }
+
             @Override
             public boolean quiesce() {
                 if (phase == Phase.SERVING && !front.isDraining()) {
@@ -213,7 +221,7 @@
     /** Decides and forwards without a listener or discovery, on the list and the connections it is given. */
     void rehearse(JsonObject list) {
         owner.start();
-        owner.listed(list, false);
+        owner.listed(MemberList.of(list), false, () -> { });
     }
 
     void accept(StreamConnection connection) {
--- a/src/main/java/lemondrift/serve/Tellings.java
+++ b/src/main/java/lemondrift/serve/Tellings.java
@@ -10,7 +10,7 @@
 import lemondrift.model.Listed;
 import lemondrift.model.Outcome;
 import lemondrift.peer.Holdings;
-import lemondrift.peer.Shares;
+import lemondrift.peer.SubsetAssignment;
 
 /** What this proxy tells the others and hears of them. Owner's thread only, but for told. */
 final class Tellings {
@@ -19,7 +19,7 @@
     private final Balancer balancer;
     private final Directory directory;
     private final int self;
-    private final Shares shares;
+    private final SubsetAssignment subsets;
     private final Holdings holdings;
     /** What has come and is not handled yet. */
     private final Queue<Told> told = new ConcurrentLinkedQueue<>();
@@ -31,8 +31,8 @@
         this.balancer = balancer;
         this.directory = directory;
         self = place.self();
-        shares = new Shares(place.proxies().size(), place.part());
-        holdings = new Holdings(place.proxies().size(), self, start, place.pace(), place.forget(), shares,
+        subsets = new SubsetAssignment(place.proxies().size(), place.part());
+        holdings = new Holdings(place.proxies().size(), self, start, place.pace(), place.forget(), subsets,
                 this::changed);
     }
 
@@ -56,18 +56,20 @@
         balancer.othersHeard(holdings.heard(now) > 0);
     }
 
-    /** Tags what is listed and draws this proxy's lots for it, as the others draw them. */
-    List<Listed> drawn(boolean whole, List<Listed> lines) {
+    /** Tags changed lines of the list and adds this proxy's scores and whose subset changes with them. */
+    List<Listed> assigned(List<Listed> lines) {
         for (Listed line : lines) {
             int backend = line.backend();
-            tags = Arrays.copyOf(tags, Math.max(tags.length, backend + 1));
+            if (backend >= tags.length) {
+                tags = Arrays.copyOf(tags, Math.max(2 * tags.length, backend + 1));
+            }
             byTag.remove(tags[backend], backend);
             tags[backend] = Holdings.tag(directory.id(backend));
             if (line.state() == Listed.State.READY) {
                 byTag.put(tags[backend], backend);
             }
         }
-        return shares.drawn(self, whole, lines, backend -> tags[backend]);
+        return subsets.assigned(self, false, lines, backend -> tags[backend]);
     }
 
     /** The decisions have been told of a list. */
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -1,16 +1,16 @@
 package lemondrift.serve;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import lemondrift.model.Turn;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
 
 /** Keeps the list up to date: the whole list once, then one watch. I/O thread only. */
 final class Watch {
@@ -25,9 +25,13 @@
     private static final double HOLD = 1.8, COSTLY_HOLD = 3, SLACK = 0.7, PAUSE = 0.1;
     /** Within how many seconds a whole list, or a new connection, is to be there. */
     private static final double AT_ONCE = 0.5;
+    /** A list is read so many lines at a time, with so many nanoseconds for others in between. */
+    private static final int LINES_AT_A_TIME = 64;
+    private static final long BETWEEN_PARTS = 500_000;
 
     private final Clock clock;
     private final XnioIoThread io;
+    private final XnioWorker worker;
     private final Dial dial;
     private final ByteBufferPool buffers;
     private final Owner owner;
@@ -36,6 +40,8 @@
     private final CountDownLatch first = new CountDownLatch(1);
     private long revision = -1;
     private boolean stopped, failing;
+    /** An answer is read by the worker. */
+    private boolean reading;
     private Links links;
     private Call call;
 
@@ -43,6 +49,7 @@
             Owner owner) {
         this.clock = clock;
         this.io = io;
+        worker = io.getWorker();
         this.dial = dial;
         this.buffers = buffers;
         this.owner = owner;
@@ -83,6 +90,7 @@
             call.abandon();
             call = null;
         }
+        reading = false;
         links.retire();
         links = links(discovery);
         // Danger: the new one may count its revisions otherwise and never tell what the old one had not.
@@ -98,7 +106,7 @@
     }
 
     private void call() {
-        if (call != null || stopped) {
+        if (call != null || reading || stopped) {
             return;
         }
         double hold = onRequest ? COSTLY_HOLD : HOLD;
@@ -126,22 +134,49 @@
             failed("status " + answer.status());
             return;
         }
+        reading = true;
+        Links from = links;
+        MemberListParser parser = new MemberListParser(answer.body());
+        worker.execute(() -> read(parser, from));
+    }
+
+    /** Reads a part of a list. Danger: thousands of lines at once would hold up whoever shares the core. */
+    private void read(MemberListParser parser, Links from) {
         try {
-            JsonObject list = JsonParser.parseString(new String(answer.body(), StandardCharsets.UTF_8))
-                    .getAsJsonObject();
-            // Danger: a revision taken from half a list would never be asked for again.
-            int lines = list.getAsJsonArray("members").size();
-            list.get("complete").getAsBoolean();
-            revision = list.get("revision").getAsLong();
-            if (failing || lines > 0) {
-                LOG.info("list of revision {}, lines: {}", revision, lines);
+            while (!parser.advance(LINES_AT_A_TIME)) {
+                LockSupport.parkNanos(BETWEEN_PARTS);
             }
-            failing = false;
-            owner.listed(list, false);
-            first.countDown();
-            // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
-            call();
-        } catch (RuntimeException e) {
+            MemberList list = parser.list();
+            io.execute(() -> told(list, from));
+        } catch (IOException | RuntimeException e) {
+            io.execute(() -> unreadable(e, from));
+        }
+    }
+
+    /** Danger: what comes of an address that was left since would undo what the new one says. */
+    private boolean isOfLate(Links from) {
+        if (from == links) {
+            reading = false;
+        }
+        return stopped || from != links;
+    }
+
+    private void told(MemberList list, Links from) {
+        if (isOfLate(from)) {
+            return;
+        }
+        revision = list.revision();
+        if (failing || !list.members().isEmpty()) {
+            LOG.info("list of revision {}, lines: {}", revision, list.members().size());
+        }
+        failing = false;
+        owner.listed(list, false, first::countDown);
+        // Danger: a later call than 200 ms begins a new watch, and what changed before it counts as told.
+        call();
+    }
+
+    private void unreadable(Exception e, Links from) {
+        if (!isOfLate(from)) {
             failed(e.toString());
         }
     }
--- a/src/main/java/lemondrift/serve/admin/Admin.java
+++ b/src/main/java/lemondrift/serve/admin/Admin.java
@@ -99,7 +99,7 @@
         call.setPersistent(false);
         String path = call.getRequestPath();
         boolean reads = path.equals("/admin/health") || path.equals("/admin/stats")
-                || path.equals("/admin/recovery");
+                || path.equals("/admin/recovery") || path.equals("/admin/loop");
         if (!reads && !path.equals("/admin/quiesce") && !path.equals("/admin/resume")) {
             answer(call, StatusCodes.NOT_FOUND);
             return;
@@ -116,8 +116,9 @@
             call.getResponseSender().send(json(figures));
             return;
         }
-        if (path.equals("/admin/recovery")) {
-            String told = operated == null ? null : operated.recovery();
+        if (path.equals("/admin/recovery") || path.equals("/admin/loop")) {
+            String told = operated == null ? null
+                    : path.equals("/admin/loop") ? operated.loop() : operated.recovery();
             if (told == null) {
                 answer(call, StatusCodes.NOT_FOUND);
                 return;
--- a/src/main/java/lemondrift/serve/admin/Operated.java
+++ b/src/main/java/lemondrift/serve/admin/Operated.java
@@ -12,6 +12,9 @@
     /** How far it is on its way back after its start, as JSON; null where it asks nobody. */
     String recovery();
 
+    /** How the thread that decides keeps up, as JSON. */
+    String loop();
+
     /** Sends clients away; false where it can't. */
     boolean quiesce();
 
--- a/src/test/java/lemondrift/peer/HoldingsTest.java
+++ b/src/test/java/lemondrift/peer/HoldingsTest.java
@@ -13,17 +13,20 @@
 
 /** What proxies tell one another, beside a plain model, under loss, repeats, disorder and nonsense. */
 class HoldingsTest {
+    /** Seconds after which what one has told is forgotten. */
+    private static final double FORGET = 0.1;
+
     private record Flying(int from, Holdings.Telling telling) {}
 
     /** One of a few that all use all backends. */
     private static Holdings holdings(int proxies, int self, int backends) {
-        return new Holdings(proxies, self, 1, 0.01, 0.1, all(proxies, backends), tag -> { });
+        return new Holdings(proxies, self, 1, 0.01, FORGET, all(proxies, backends), tag -> { });
     }
 
-    private static Shares all(int proxies, int backends) {
-        Shares shares = new Shares(proxies, backends);
-        shares.listed(IntStream.range(0, backends).toArray());
-        return shares;
+    private static SubsetAssignment all(int proxies, int backends) {
+        SubsetAssignment subsets = new SubsetAssignment(proxies, backends);
+        subsets.listed(IntStream.range(0, backends).toArray());
+        return subsets;
     }
 
     /** The only telling that is due now. */
@@ -90,14 +93,15 @@
         for (int proxies : new int[] {20, 100, 300}) {
             int backends = 2 * proxies, told = 0;
             int[] tags = IntStream.range(0, backends).map(i -> Holdings.tag("s-" + i)).toArray();
-            Shares shares = new Shares(proxies, 16);
-            shares.listed(tags);
+            SubsetAssignment subsets = new SubsetAssignment(proxies, 16);
+            subsets.listed(tags);
             for (int tag : tags) {
-                Holdings one = new Holdings(proxies, 3, 1, 0.01, 0.1, shares, t -> { });
+                Holdings one = new Holdings(proxies, 3, 1, 0.01, 0.1, subsets, t -> { });
                 one.sent(tag);
                 int[] to = one.tellings(1).stream().mapToInt(Holdings.Telling::to).toArray();
                 int[] use = IntStream.range(0, proxies).filter(p -> p != 3 && Arrays.stream(tags)
-                        .filter(other -> Shares.lot(p, other) < Shares.lot(p, tag)).count() < 16).toArray();
+                        .filter(other -> SubsetAssignment.score(p, other)
+                        < SubsetAssignment.score(p, tag)).count() < 16).toArray();
                 assertArrayEquals(use, to);
                 told += to.length;
             }
@@ -105,8 +109,12 @@
         }
     }
 
-    @Property(tries = 200)
-    void afterEachHasToldAllKnowWhatTheOthersHaveOut(@ForAll long seed) {
+    /**
+     * Whatever was lost, late or doubled before: once all tellings arrive, each knows what the others have out
+     * as soon as what was told last can have been forgotten.
+     */
+    @Property(tries = 2000, seed = "48")
+    void onceTellingsArriveAllKnowWhatTheOthersHaveOut(@ForAll long seed) {
         Random random = new Random(seed);
         int proxies = 4, backends = 5;
         Holdings[] all = new Holdings[proxies];
@@ -130,23 +138,47 @@
                 all[any.telling.to()].told(any.from, any.telling.datagram(), now);
             }
         }
-        double end = now + 0.05;
-        for (int i = 0; i < proxies; i++) {
-            int from = i;
-            all[i].tellings(end).forEach(each -> all[each.to()].told(from, each.datagram(), end));
+        for (double end = now + FORGET + 0.01; now < end; now += 0.005) {
+            arrive(all, now);
         }
         for (int j = 0; j < proxies; j++) {
-            all[j].forget(end);
             for (int b = 0; b < backends; b++) {
                 int want = 0;
                 for (int i = 0; i < proxies; i++) {
                     want += i == j ? 0 : model[i][b];
                 }
-                assertEquals(want, all[j].others(b));
+                assertEquals(want, all[j].others(b), "seed " + seed + ", proxy " + j + ", backend " + b);
             }
         }
     }
 
+    /** All that is due is told and arrives, and what is too old is forgotten. */
+    private static void arrive(Holdings[] all, double now) {
+        for (int i = 0; i < all.length; i++) {
+            for (Holdings.Telling each : all[i].tellings(now)) {
+                all[each.to()].told(i, each.datagram(), now);
+            }
+        }
+        for (Holdings each : all) {
+            each.forget(now);
+        }
+    }
+
+    /** Danger: the last word of one that has nothing out any more may be lost, and it says no more. */
+    @Test
+    void aLostLastWordIsMadeGoodByForgettingAndNoLater() {
+        Holdings a = holdings(2, 0, 10), b = holdings(2, 1, 10);
+        a.sent(7);
+        b.told(0, telling(a, 1), 1);
+        a.ended(7);
+        assertTrue(telling(a, 1.02).length > 0, "told, and lost");
+        assertEquals(List.of(), a.tellings(1.1), "it has nothing more to say");
+        b.forget(1 + FORGET - 0.001);
+        assertEquals(1, b.others(7), "believed until then");
+        b.forget(1 + FORGET + 0.001);
+        assertEquals(0, b.others(7));
+    }
+
     /** Danger: a backend may be at work for long on what nobody waits for any more. */
     @Test
     void whatIsGivenUpCountsAsOutForAWhileHereAndElsewhere() {
--- /dev/null
+++ b/src/test/java/lemondrift/serve/MemberListParserTest.java
@@ -0,0 +1,77 @@
+package lemondrift.serve;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import lemondrift.model.Listed;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Lists of discovery, read in steps of any size. */
+class MemberListParserTest {
+    private static MemberList read(String text, int step) throws IOException {
+        MemberListParser parser = new MemberListParser(text.getBytes(StandardCharsets.UTF_8));
+        int steps = 0;
+        while (!parser.advance(step)) {
+            assertTrue(++steps < 10_000, "it comes to an end");
+        }
+        return parser.list();
+    }
+
+    private static String line(Random random) {
+        String id = "\"id\":\"s-" + random.nextInt(12) + "\"";
+        return switch (random.nextInt(5)) {
+            case 0 -> "{" + id + ",\"phase\":\"left\"}";
+            case 1 -> "{" + id + ",\"phase\":\"active\"}";
+            case 2 -> random.nextBoolean() ? "7" : "{\"phase\":\"active\",\"host_port\":\"127.0.0.1:9\"}";
+            default -> "{ " + id + ",\n \"host_port\":\"127.0.0.1:" + (1 + random.nextInt(99))
+                    + "\",\"phase\":\"" + (random.nextBoolean() ? "active" : "leaving")
+                    + "\",\"size\":" + random.nextInt(3) + ",\"other\":[1,{}],\"up_since_ms\":1500}";
+        };
+    }
+
+    @Property(tries = 100, seed = "48")
+    void stepsOfAnySizeReadTheSame(@ForAll long seed) throws IOException {
+        Random random = new Random(seed);
+        StringBuilder lines = new StringBuilder();
+        for (int i = random.nextInt(20); i > 0; i--) {
+            lines.append(lines.length() == 0 ? "" : ", ").append(line(random));
+        }
+        String members = "\"members\":[" + lines + "]", rest = "\"revision\":41,\"complete\":true";
+        String text = "{" + (random.nextBoolean() ? members + "," + rest : rest + "," + members) + "}";
+        MemberList whole = MemberList.of(JsonParser.parseString(text).getAsJsonObject());
+        assertEquals(whole, read(text, 1 + random.nextInt(30)), "seed " + seed + ": " + text);
+    }
+
+    @Test
+    void theLastLineOfABackendCountsAndAnUnreadableOneKeepsIt() throws IOException {
+        MemberList list = read("{\"revision\":3,\"complete\":false,\"members\":["
+                + "{\"id\":\"a\",\"phase\":\"active\",\"host_port\":\"127.0.0.1:1\"},"
+                + "{\"id\":\"b\",\"phase\":\"active\",\"host_port\":\"nowhere\"},"
+                + "{\"id\":\"a\",\"phase\":\"left\"}]}", 1);
+        assertEquals(List.of("b", "a"), list.members().stream().map(MemberList.Member::id).toList());
+        assertFalse(list.members().get(0).isReadable());
+        assertEquals(Listed.State.GONE, list.members().get(1).state());
+        assertEquals(1, list.unreadable().size());
+    }
+
+    /** Danger: a revision taken from half a list would never be asked for again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "7", "{", "{\"revision\":1,\"complete\":true}",
+        "{\"revision\":1,\"members\":[]}", "{\"complete\":true,\"members\":[]}",
+        "{\"revision\":1,\"complete\":true,\"members\":[",
+        "{\"revision\":1,\"complete\":true,\"members\":[{]}",
+        "{\"revision\":1,\"complete\":true,\"members\":7}",
+        "{\"revision\":null,\"complete\":true,\"members\":[]}",
+        "{\"revision\":1,\"complete\":true,\"members\":[]} and more"})
+    void whatIsNoListIsRefused(String text) {
+        assertThrows(Exception.class, () -> read(text, 5));
+    }
+}
--- a/src/test/java/lemondrift/serve/OwnerTest.java
+++ b/src/test/java/lemondrift/serve/OwnerTest.java
@@ -4,13 +4,16 @@
 
 import com.google.gson.JsonParser;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import lemondrift.decide.Balancer;
 import lemondrift.peer.Holdings;
-import lemondrift.peer.Shares;
+import lemondrift.peer.SubsetAssignment;
 import lemondrift.model.*;
 import lemondrift.settings.Grades;
 import org.junit.jupiter.api.AfterEach;
@@ -18,6 +21,7 @@
 
 /** The owner without sockets, its clock in the test's hand. */
 class OwnerTest implements Hands {
+    private static final int MANY = 3200;
     private static final Settings SETTINGS = new Settings(1, 1, 0, false,
             List.of(new ServiceGrade(1, 0, 1, 2, Effect.EFFECTFUL, Group.ALL, 0)), new double[0], 1, false,
             new Settings.Reports(false, -1, -1, false, -1), new Settings.Limits(true, false, 4, 0.5),
@@ -29,6 +33,8 @@
     private final LinkedBlockingQueue<Forward> sends = new LinkedBlockingQueue<>();
     private volatile double now = 1000;
     private volatile boolean failing;
+    /** How many seconds pass while the sockets are told to let go of a backend. */
+    private volatile double passes;
     private final Owner owner = new Owner(new Balancer(SETTINGS, 7), new Directory(List.of("a")), () -> now,
             this, new Grades(List.of("order"), SETTINGS.grades()), SETTINGS);
 
@@ -38,8 +44,7 @@
     }
 
     private void list(String phase) {
-        owner.listed(JsonParser.parseString("{\"complete\":true,\"members\":[{\"id\":\"s-1\",\"phase\":"
-                + "\"" + phase + "\",\"host_port\":\"127.0.0.1:1\"}]}").getAsJsonObject(), false);
+        owner.listed(list(true, "s-1 " + phase + " 1"), false, () -> { });
     }
 
     private String next() throws InterruptedException {
@@ -70,8 +75,8 @@
         owner.start();
         list("active");
         Forward f = arrive(1);
-        Shares shares = new Shares(2, 12);
-        Holdings other = new Holdings(2, 0, 1, 0, 1, shares, tag -> { });
+        SubsetAssignment subsets = new SubsetAssignment(2, 12);
+        Holdings other = new Holdings(2, 0, 1, 0, 1, subsets, tag -> { });
         other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
         while (other.others(Holdings.tag("s-1")) == 0) {
             other.told(1, tellings.poll(5, TimeUnit.SECONDS), now);
@@ -109,12 +114,72 @@
         assertEquals("shed 1", next());
     }
 
-    private static List<Listed> listed(Directory directory, boolean whole, String... idPhasePort) {
-        String members = List.of(idPhasePort).stream().map(each -> each.replaceFirst("(.+) (.+) (.+)",
+    private static MemberList list(boolean whole, String... idPhasePort) {
+        String members = Arrays.stream(idPhasePort).map(each -> each.replaceFirst("(.+) (.+) (.+)",
                 "{\"id\":\"$1\",\"phase\":\"$2\",\"host_port\":\"127.0.0.1:$3\",\"cell\":3}"))
                 .collect(Collectors.joining(","));
-        return directory.listed(JsonParser.parseString("{\"members\":[" + members + "]}").getAsJsonObject(),
-                whole);
+        return MemberList.of(JsonParser.parseString("{\"complete\":" + whole + ",\"members\":[" + members
+                + "]}").getAsJsonObject());
+    }
+
+    /** Thousands of backends, all in one phase. */
+    private static MemberList longList(String phase) {
+        return list(false, IntStream.range(0, MANY).mapToObj(i -> "many-" + i + " " + phase + " "
+                + (1000 + i)).toArray(String[]::new));
+    }
+
+    private static List<Listed> listed(Directory directory, boolean whole, String... idPhasePort) {
+        ListUpdate update = new ListUpdate(directory, list(whole, idPhasePort), false, () -> { });
+        List<Listed> lines = new ArrayList<>();
+        while (!update.isDone()) {
+            lines.addAll(update.slice());
+        }
+        return lines;
+    }
+
+    /** Danger: thousands of lines would hold up whoever comes meanwhile, and all that have to be answered. */
+    @Test
+    void whileALongListIsFollowedRequestsAreDecidedAndExpiriesKept() throws Exception {
+        list("active");
+        owner.listed(longList("active"), false, () -> did.add("followed"));
+        owner.arrived(new Taken(new Exchange(1, 0, 0, now, 2), null, new byte[0], null));
+        owner.start();
+        Forward first = sends.poll(5, TimeUnit.SECONDS);
+        assertEquals(List.of(), List.copyOf(did), "sent before the list was followed");
+        assertEquals("followed", next());
+        passes = 3;
+        owner.listed(longList("left"), false, () -> did.add("followed"));
+        List<String> then = new ArrayList<>();
+        for (String each = next(); !"followed".equals(each); each = next()) {
+            then.add(each);
+        }
+        assertTrue(then.contains("scrapped 1") && then.indexOf("scrapped 1") < MANY / 2, then.toString());
+        owner.ended(first, Outcome.CANCELLED, 3, null, null);
+    }
+
+    /** Danger: what came while another list is followed must not be told of backends by the older one. */
+    @Test
+    void listsThatComeWhileOneIsFollowedAreFollowedInTheirOrder() throws Exception {
+        owner.listed(longList("active"), false, () -> did.add("followed 1"));
+        owner.listed(list(true, "s-1 active 1"), false, () -> did.add("followed 2"));
+        owner.start();
+        for (String each = next(); !"followed 2".equals(each); each = next()) {
+            assertTrue(List.of("followed 1", "let go").contains(each), each);
+        }
+        assertEquals(0, arrive(1).backend, "the only one left, under the first index that is free");
+    }
+
+    @Test
+    void whatALongListSaysOfDrainsComesBeforeAllElse() {
+        Directory directory = new Directory(List.of("a"));
+        listed(directory, true, "one active 1", "two active 2");
+        String[] lines = IntStream.range(0, MANY).mapToObj(i -> "many-" + i + " active " + (1000 + i))
+                .toArray(String[]::new);
+        lines[MANY - 1] = "two leaving 2";
+        List<Listed> told = listed(directory, true, lines);
+        assertEquals(List.of(Listed.State.GONE, Listed.State.DRAINING, Listed.State.READY),
+                told.stream().limit(3).map(Listed::state).toList());
+        assertEquals(List.of(), listed(directory, true, lines), "the same again says nothing");
     }
 
     @Test
@@ -201,6 +266,8 @@
 
     @Override
     public void letGo(int backend) {
+        now += passes;
+        passes = 0;
         did.add("let go");
     }
 }
