--- a/src/main/java/lemondrift/cli/Lab.java
+++ b/src/main/java/lemondrift/cli/Lab.java
@@ -22,7 +22,7 @@
 /** Experiments in virtual time. */
 @Command(name = "lab", description = "Experiments on the decisions, in virtual time.",
         mixinStandardHelpOptions = true, subcommands = {Lab.Run.class, Lab.Listing.class, Lab.Compare.class,
-            LoadCommand.class, FleetCommand.class})
+            LoadCommand.class, FleetCommand.class, SoakCommand.class})
 final class Lab {
     /** Seconds of the window that a figure which is not met is told with. */
     private static final int WINDOW = 5;
--- /dev/null
+++ b/src/main/java/lemondrift/cli/SoakCommand.java
@@ -0,0 +1,79 @@
+package lemondrift.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import lemondrift.lab.fleet.Launcher;
+import lemondrift.lab.fleet.Soak;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParentCommand;
+
+/** Days of real processes with faults drawn from seeds. */
+@Command(name = "soak",
+        description = "Plays days of real processes on which all that fails is drawn from a seed.",
+        mixinStandardHelpOptions = true)
+final class SoakCommand implements Callable<Integer> {
+    @ParentCommand
+    Lab lab;
+
+    @Option(names = "--from", paramLabel = "SEED", defaultValue = "1",
+            description = "the first seed (${DEFAULT-VALUE})")
+    long from;
+
+    @Option(names = "--seeds", paramLabel = "N", defaultValue = "5",
+            description = "how many (${DEFAULT-VALUE})")
+    int seeds;
+
+    @Option(names = "--at-once", paramLabel = "N", defaultValue = "1",
+            description = "days that are played side by side (${DEFAULT-VALUE})")
+    int atOnce;
+
+    @Option(names = "--root", paramLabel = "FOLDER", defaultValue = ".",
+            description = "where deploy/balancer.toml and the built archive are (${DEFAULT-VALUE})")
+    Path root;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Launcher launcher = Launcher.deployed(root.toAbsolutePath().normalize());
+        ExecutorService players = Executors.newFixedThreadPool(atOnce);
+        List<Future<Soak.Verdict>> days = new ArrayList<>();
+        for (long seed = from; seed < from + seeds; seed++) {
+            Soak.Plan plan = Soak.plan(seed);
+            days.add(players.submit(() -> Soak.play(plan, launcher, line -> { })));
+        }
+        players.shutdown();
+        int failed = 0;
+        for (int i = 0; i < seeds; i++) {
+            failed += isWell(from + i, days.get(i)) ? 0 : 1;
+        }
+        lab.out().printf("%d days, %d of them with something wrong%n", seeds, failed);
+        lab.out().flush();
+        return failed > 0 ? Lemondrift.FAILED : Lemondrift.DONE;
+    }
+
+    private boolean isWell(long seed, Future<Soak.Verdict> day) throws InterruptedException {
+        PrintWriter out = lab.out();
+        try {
+            Soak.Verdict verdict = day.get();
+            out.printf(Locale.ROOT, "seed %d: %s, in time %.3f, unanswered %d; %s%n", seed,
+                    verdict.wrong().isEmpty() ? "well" : "WRONG", verdict.figures().inTimeShare(),
+                    verdict.figures().unanswered, verdict.plan().about());
+            verdict.wrong().forEach(out::println);
+            return verdict.wrong().isEmpty();
+        } catch (ExecutionException e) {
+            out.printf("seed %d: WRONG, not played to its end: %s%n", seed, e.getCause());
+            return false;
+        } finally {
+            out.flush();
+        }
+    }
+}
--- a/src/main/java/lemondrift/lab/fleet/Crowd.java
+++ b/src/main/java/lemondrift/lab/fleet/Crowd.java
@@ -29,6 +29,8 @@
     private static final int MOST_DOORS = 5;
     /** A client asks again after this share of the contract time where it is told nothing else. */
     private static final double WAIT = 0.5;
+    /** Seconds between two requests of those who stay with a door that is to close. */
+    private static final double STAYS = 0.01;
 
     /** What a client wants: it asks until it has it, or has asked often enough. */
     private static final class Want {
@@ -62,6 +64,13 @@
             this.want = want;
         }
 
+        /** On a connection that there is. */
+        void begins(int at, Talk on) {
+            door = at;
+            holders.put(on, this);
+            sends(on);
+        }
+
         void begins() {
             door = pick.getAsInt();
             if (door < 0 || ++tried > MOST_DOORS) {
@@ -184,6 +193,11 @@
             holders.remove(talk);
             if (its != null && on != null && on.used && !crossed && !direct) {
                 crossed = true;
+                // Who is told to end takes nobody new; its front sends them elsewhere.
+                if (!doors.isOpen(door)) {
+                    isOut(false);
+                    door = Math.max(0, pick.getAsInt());
+                }
                 opens();
                 return;
             }
@@ -304,6 +318,18 @@
         asking = false;
     }
 
+    /** Whoever has a connection to a door goes on asking there until a time, or until there is none. */
+    void stays(int door, double until) {
+        if (!asking || agenda.now() >= until) {
+            return;
+        }
+        Talk kept = pools.computeIfAbsent(door, none -> new ArrayDeque<>()).pollLast();
+        if (kept != null && kept.isOpen()) {
+            new Ask(want()).begins(door, kept);
+        }
+        agenda.in(STAYS, () -> stays(door, until));
+    }
+
     /** How many requests are out at a door. */
     int out(int door) {
         return out.getOrDefault(door, 0);
@@ -314,16 +340,20 @@
         return wanting;
     }
 
-    private void comes() {
-        if (!asking) {
-            return;
-        }
+    private Want want() {
         double spread = day.spread();
         int grade = chance.nextInt(day.settings().grades().size());
         wanting++;
         int second = judge.wants(grade, day.settings().grades().get(grade).benefit());
-        asks(new Want(grade, agenda.now(), second, day.work() * heavy.getAsDouble()
-                * Math.exp(spread * bell.sample() - spread * spread / 2), judge.figures()));
+        return new Want(grade, agenda.now(), second, day.work() * heavy.getAsDouble()
+                * Math.exp(spread * bell.sample() - spread * spread / 2), judge.figures());
+    }
+
+    private void comes() {
+        if (!asking) {
+            return;
+        }
+        asks(want());
         agenda.in(gaps.sample() / (day.rate() * traffic.getAsDouble()), this::comes);
     }
 
--- a/src/main/java/lemondrift/lab/fleet/Doors.java
+++ b/src/main/java/lemondrift/lab/fleet/Doors.java
@@ -55,6 +55,11 @@
         return last;
     }
 
+    /** Whether the front sends clients to a proxy. */
+    boolean isOpen(int proxy) {
+        return open[proxy];
+    }
+
     /** Which proxies the front has not taken in. */
     List<Integer> closed() {
         List<Integer> closed = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/lemondrift/lab/fleet/Loiterer.java
@@ -0,0 +1,87 @@
+package lemondrift.lab.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import lemondrift.lab.world.Agenda;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.xnio.XnioIoThread;
+
+/**
+ * A client that takes up a place at a proxy: it connects, says nothing or a part of a request, waits, leaves,
+ * and comes again. I/O thread only.
+ */
+final class Loiterer implements Talk.Hearer {
+    /** The most seconds that it stays, and that it is away. */
+    private static final double STAYS = 4, AWAY = 1;
+    private static final byte[] PART = "GET /api HTTP/1.1\r\nHost: origin"
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private final InetSocketAddress proxy;
+    private final Agenda agenda;
+    private final XnioIoThread io;
+    private final UniformRandomProvider chance;
+    private Talk talk;
+    private volatile boolean over;
+
+    Loiterer(InetSocketAddress proxy, Agenda agenda, XnioIoThread io, UniformRandomProvider chance) {
+        this.proxy = proxy;
+        this.agenda = agenda;
+        this.io = io;
+        this.chance = chance;
+        comesLater();
+    }
+
+    private void comesLater() {
+        if (!over) {
+            agenda.in(AWAY * chance.nextDouble(), this::comes);
+        }
+    }
+
+    private void comes() {
+        if (!over) {
+            Talk.open(io, proxy, this, this::opened);
+        }
+    }
+
+    private void opened(Talk opened) {
+        if (opened == null || over) {
+            if (opened != null) {
+                opened.close();
+            }
+            comesLater();
+            return;
+        }
+        talk = opened;
+        if (chance.nextBoolean()) {
+            opened.write(PART);
+        }
+        agenda.in(STAYS * chance.nextDouble(), () -> {
+            if (opened.isOpen()) {
+                opened.close();
+                comesLater();
+            }
+        });
+    }
+
+    @Override
+    public void heard(Talk on, String head, byte[] body) {
+        // It asked for nothing; whatever it is told, it stays as long as it may.
+    }
+
+    @Override
+    public void ended(Talk on) {
+        comesLater();
+    }
+
+    /** It does not come again. Any thread. */
+    void comesNoMore() {
+        over = true;
+    }
+
+    void close() {
+        over = true;
+        if (talk != null) {
+            talk.close();
+        }
+    }
+}
--- a/src/main/java/lemondrift/lab/fleet/Outages.java
+++ b/src/main/java/lemondrift/lab/fleet/Outages.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.ObjDoubleConsumer;
 import lemondrift.lab.world.Fault;
 
 /**
@@ -15,6 +16,9 @@
  */
 final class Outages {
     private static final double LOOKS = 0.1, STILL_COME = 0.3;
+    /** How long after the longest expiry a process that was told to end may be killed; the protocol page. */
+    private static final double KILLED_AFTER = 0.7;
+    private static final int HANG_UPS = 4;
     /** Steps in which a fleet is rolled. */
     private static final int STEPS = 10;
 
@@ -25,13 +29,22 @@
     private final RealAgenda agenda;
     private final InetSocketAddress[] listens, hears;
     private final CompletableFuture<Void> failed;
+    /** In seconds. */
+    private final double longestExpiry;
+    /** Who has a connection to a proxy goes on using it until a time. */
+    private final ObjDoubleConsumer<Integer> stays;
     private final ExecutorService hands = Executors.newSingleThreadExecutor();
     /** Those that are to be down. */
     private final boolean[] down;
+    /** How often each was started. */
+    private final int[] starts;
 
     /** Where each proxy listens and hears the others; what fails is told as the day's failure. */
     Outages(Processes processes, Agents agents, Doors doors, Judge judge, RealAgenda agenda,
-            InetSocketAddress[] listens, InetSocketAddress[] hears, CompletableFuture<Void> failed) {
+            InetSocketAddress[] listens, InetSocketAddress[] hears, CompletableFuture<Void> failed,
+            double longestExpiry, ObjDoubleConsumer<Integer> stays) {
+        this.longestExpiry = longestExpiry;
+        this.stays = stays;
         this.processes = processes;
         this.agents = agents;
         this.doors = doors;
@@ -41,6 +54,7 @@
         this.hears = hears;
         this.failed = failed;
         down = new boolean[listens.length];
+        starts = new int[listens.length];
         Arrays.fill(down, true);
     }
 
@@ -59,6 +73,7 @@
         Processes.Place place = new Processes.Place(listens[p], hears[p], agents.address(p), agents.known(p));
         judge.excuses(p, true);
         down[p] = false;
+        starts[p]++;
         acts(() -> {
             processes.start(p, place);
             agenda.soon(() -> doors.looksAt(p, () -> judge.excuses(p, false)));
@@ -79,6 +94,30 @@
         }
     }
 
+    /**
+     * One is told to end. Its front sends nobody more after a while, but who has a connection uses it for as
+     * long as it is there; what the kill finds unanswered is not excused.
+     */
+    private void terminates(int p) {
+        if (down[p]) {
+            return;
+        }
+        down[p] = true;
+        acts(() -> processes.stop(p));
+        double kill = agenda.now() + longestExpiry + KILLED_AFTER;
+        agenda.in(STILL_COME, () -> {
+            doors.leaves(p);
+            stays.accept(p, kill);
+        });
+        int start = starts[p];
+        agenda.at(kill, () -> {
+            // Danger: by then another process may have its number.
+            if (starts[p] == start) {
+                acts(() -> processes.kill(p));
+            }
+        });
+    }
+
     /** Starts one again as soon as its former process has ended. */
     private void startsAgain(int p) {
         if (down[p]) {
@@ -126,6 +165,21 @@
                     });
                 }
             }
+            case TERMINATE -> {
+                for (int p : numbers) {
+                    terminates(p);
+                    agenda.in(fault.lasts(), () -> startsAgain(p));
+                }
+            }
+            case HANG_UP -> {
+                for (int k = 0; k < HANG_UPS; k++) {
+                    agenda.in(fault.lasts() * k / HANG_UPS, () -> {
+                        for (int p : numbers) {
+                            acts(() -> processes.hangUp(p));
+                        }
+                    });
+                }
+            }
             default -> throw new IllegalStateException(fault.kind() + " falls on no process");
         }
     }
--- a/src/main/java/lemondrift/lab/fleet/Stand.java
+++ b/src/main/java/lemondrift/lab/fleet/Stand.java
@@ -27,6 +27,7 @@
 import lemondrift.lab.world.Trouble;
 import lemondrift.lab.world.Troubles;
 import lemondrift.model.Listed;
+import lemondrift.model.ServiceGrade;
 import lemondrift.settings.BadInput;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -69,6 +70,7 @@
     private final Processes processes;
     private final Doors doors;
     private final Outages outages;
+    private final List<Loiterer> loiterers = new ArrayList<>();
     private final InetSocketAddress[] listens, hears;
     private final int[] segments;
     private volatile Faults faults;
@@ -123,7 +125,8 @@
         doors = new Doors(day.proxies(), experiment.uneven(), p -> listens[p], agenda, io,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2));
         crowd = crowd(p -> listens[p], doors::pick);
-        outages = new Outages(processes, agents, doors, judge, agenda, listens, hears, failed);
+        outages = new Outages(processes, agents, doors, judge, agenda, listens, hears, failed,
+                day.settings().live().mapToDouble(ServiceGrade::expiry).max().orElse(1), crowd::stays);
     }
 
     private Crowd crowd(IntFunction<InetSocketAddress> address, IntSupplier pick) {
@@ -331,6 +334,21 @@
         }
     }
 
+    /**
+     * So many clients connect to each proxy and say nothing, or half a request, until their time is up; then
+     * others come in their place.
+     */
+    public void loiters(int many) throws InterruptedException {
+        ask(() -> {
+            for (int p = 0; p < day.proxies(); p++) {
+                for (int i = 0; i < many; i++) {
+                    loiterers.add(new Loiterer(listens[p], agenda, io, chance));
+                }
+            }
+            return null;
+        });
+    }
+
     /** Where clients find a proxy. */
     InetSocketAddress address(int proxy) {
         return listens[proxy];
@@ -356,12 +374,14 @@
 
     @Override
     public void close() {
+        loiterers.forEach(Loiterer::comesNoMore);
         if (processes != null) {
             outages.close();
             processes.close();
             mail.close();
         }
         agenda.soon(() -> {
+            loiterers.forEach(Loiterer::close);
             crowd.close();
             bank.close();
             if (agents != null) {
--- a/src/main/java/lemondrift/lab/world/Fault.java
+++ b/src/main/java/lemondrift/lab/world/Fault.java
@@ -37,7 +37,14 @@
         /** Processes stand still and are woken. */
         PAUSE,
         /** Processes are stopped and started again, a tenth of them at a time, over its span. */
-        ROLL;
+        ROLL,
+        /**
+         * Processes get SIGTERM while clients go on using the connections that they have, and are killed as
+         * early as the platform may do so.
+         */
+        TERMINATE,
+        /** Processes are told to read their configuration again, some times in a row over its span. */
+        HANG_UP;
 
         /** Whether it falls on processes. */
         public boolean isOfProcesses() {
--- /dev/null
+++ b/src/test/java/lemondrift/lab/fleet/SoakTest.java
@@ -0,0 +1,32 @@
+package lemondrift.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A few days of the soak, of fixed seeds. */
+class SoakTest {
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void allRulesAreKeptAndAllProcessesEndWell(long seed) throws Exception {
+        Soak.Plan plan = Soak.plan(seed);
+        Launcher launcher = Fleets.launcher(Path.of("deploy/peers.json"), Path.of("deploy/recovery.json"));
+        Soak.Verdict verdict = Soak.play(plan, launcher, line -> { });
+        assertEquals(List.of(), verdict.wrong(), plan.about());
+        assertTrue(verdict.figures().delivered > 0, plan.about());
+    }
+
+    @Test
+    void aSeedDrawsTheSameDayEachTime() {
+        for (long seed = 0; seed < 50; seed++) {
+            assertEquals(Soak.plan(seed).about(), Soak.plan(seed).about());
+        }
+        assertNotEquals(Soak.plan(1).about(), Soak.plan(2).about());
+        assertTrue(Soak.plan(1).experiment().faults().stream()
+                .anyMatch(each -> each.kind() == lemondrift.lab.world.Fault.Kind.TERMINATE));
+    }
+}
