--- a/src/main/java/lemondrift/serve/Serve.java
+++ b/src/main/java/lemondrift/serve/Serve.java
@@ -17,6 +17,9 @@
 public final class Serve {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
 
+    /** Seconds that the log's last lines may take at the end. */
+    private static final double LAST_LINES = 0.05;
+
     private Serve() {}
 
     /** Returns an exit code where the proxy can't start, else 0, and the proxy runs on. */
@@ -38,8 +41,10 @@
             AtomicReference<Proxy> proxy = new AtomicReference<>();
             AtomicBoolean hungUp = new AtomicBoolean();
             if (serving) {
+                // Danger: a reader of the log that stops would stop whoever logs, and with them all answers.
+                QueuedLog log = QueuedLog.ofStandardError();
                 // Danger: a signal that comes before there is a proxy would end the program, as a crash does.
-                Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy.get()), "drain"));
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> end(proxy.get(), log), "drain"));
                 onHangUp(() -> {
                     hungUp.set(true);
                     reload(proxy.get(), environment);
@@ -136,7 +141,7 @@
         }
     }
 
-    private static void end(Proxy proxy) {
+    private static void end(Proxy proxy, QueuedLog log) {
         try {
             if (proxy != null) {
                 proxy.drain();
@@ -144,6 +149,7 @@
         } catch (InterruptedException | RuntimeException e) {
             Thread.currentThread().interrupt();
         }
+        log.drain(LAST_LINES);
         // A JVM that a signal ends would exit with 143, which a platform takes for a crash.
         Runtime.getRuntime().halt(0);
     }
--- a/src/test/java/lemondrift/peer/HoldingsTest.java
+++ b/src/test/java/lemondrift/peer/HoldingsTest.java
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Whatever was lost, late or doubled before: once all tellings arrive, each knows what the others have out
-     * as soon as what was told last can have been forgotten.
+     * Whatever was lost, late or doubled before: once all tellings arrive, each knows what the others have
+     * out as soon as what was told last can have been forgotten.
      */
     @Property(tries = 2000, seed = "48")
     void onceTellingsArriveAllKnowWhatTheOthersHaveOut(@ForAll long seed) {
