--- a/src/main/java/lemondrift/lab/fleet/Talk.java
+++ b/src/main/java/lemondrift/lab/fleet/Talk.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -59,11 +60,19 @@
                 connection -> then.accept(new Talk(connection, hearer)), NO_DELAY);
         future.addNotifier((its, nothing) -> {
             if (its.getStatus() != IoFuture.Status.DONE) {
-                io.execute(() -> then.accept(null));
+                tellsNone(io, then);
             }
         }, null);
     }
 
+    private static void tellsNone(XnioIoThread io, Consumer<Talk> then) {
+        try {
+            io.execute(() -> then.accept(null));
+        } catch (RejectedExecutionException e) {
+            // The stand closes, and nobody waits for it any more.
+        }
+    }
+
     private void reads() {
         try {
             ConduitStreamSourceChannel source = connection.getSourceChannel();
