Watch: a list that comes after the end, or nests without end, leaves no trace and no silence

Cause, by reading: the task pool turns tasks away once the process ends, and a StackOverflowError while reading would have left the watch waiting for a list for good (Watch.read). Changed: both are caught; empty changes log no line.

--- a/src/main/java/lemondrift/serve/ListUpdate.java
+++ b/src/main/java/lemondrift/serve/ListUpdate.java
@@ -38,6 +38,11 @@
         return stale;
     }
 
+    /** Whether it says nothing at all, as a watch does that nothing came of. */
+    boolean isEmpty() {
+        return list.members().isEmpty() && !list.complete();
+    }
+
     boolean isDone() {
         return step == Step.DONE;
     }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -266,8 +266,10 @@
         if (!update.unreadable().isEmpty()) {
             LOG.warn("lines of the list are passed over, the first: {}", update.unreadable().get(0));
         }
-        LOG.info("list followed {} backends={} usable={}", update.told(), directory.listed(),
-                balancer.usable());
+        if (!update.isEmpty()) {
+            LOG.info("list followed {} backends={} usable={}", update.told(), directory.listed(),
+                    balancer.usable());
+        }
         update.applied();
         return balancer.backendsListed(clock.now(), false, update.isStale(), List.of());
     }
--- a/src/main/java/lemondrift/serve/Watch.java
+++ b/src/main/java/lemondrift/serve/Watch.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import lemondrift.model.Turn;
@@ -137,7 +139,16 @@
         reading = true;
         Links from = links;
         MemberListParser parser = new MemberListParser(answer.body());
-        worker.execute(() -> read(parser, from));
+        hand(worker, () -> read(parser, from));
+    }
+
+    /** Danger: a process that ends takes no more tasks, and needs no list. */
+    private static void hand(Executor to, Runnable task) {
+        try {
+            to.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("a list comes after the end");
+        }
     }
 
     /** Reads a part of a list. Danger: thousands of lines at once would hold up whoever shares the core. */
@@ -147,9 +158,10 @@
                 LockSupport.parkNanos(BETWEEN_PARTS);
             }
             MemberList list = parser.list();
-            io.execute(() -> told(list, from));
-        } catch (IOException | RuntimeException e) {
-            io.execute(() -> unreadable(e, from));
+            hand(io, () -> told(list, from));
+        } catch (IOException | RuntimeException | StackOverflowError e) {
+            // The last is how nesting without end shows.
+            hand(io, () -> unreadable(e, from));
         }
     }
 
@@ -175,7 +187,7 @@
         call();
     }
 
-    private void unreadable(Exception e, Links from) {
+    private void unreadable(Throwable e, Links from) {
         if (!isOfLate(from)) {
             failed(e.toString());
         }
