--- a/src/main/java/lemondrift/serve/Config.java
+++ b/src/main/java/lemondrift/serve/Config.java
@@ -4,10 +4,8 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -92,7 +90,7 @@
 
     /** What the files named in an environment say: PROXY_CONFIG, and the others where there are any. */
     static Config read(Map<String, String> environment) throws IOException {
-        String json = json(environment);
+        JsonObject json = ConfigFile.read(environment);
         Config config = read(json);
         config = config.with(door(environment, config), peers(environment, config, json),
                 recovery(environment, config));
@@ -105,7 +103,7 @@
      * of it.
      */
     static Config readAgain(Map<String, String> environment, Config running) throws IOException {
-        String json = json(environment);
+        JsonObject json = ConfigFile.readWithoutKnown(environment);
         Config config = read(json).with(running.door, running.peers, running.recovery)
                 .named(environment, json);
         try {
@@ -118,19 +116,12 @@
         return config;
     }
 
-    private static String json(Map<String, String> environment) throws IOException {
-        if (environment.get("PROXY_CONFIG") == null) {
-            throw new BadInput("PROXY_CONFIG is not set");
-        }
-        return Files.readString(Path.of(environment.get("PROXY_CONFIG")));
-    }
-
     private static Bounds door(Map<String, String> environment, Config config) throws IOException {
         String file = environment.get("PROXY_DOOR");
         return file == null ? config.door : DoorFile.read(Path.of(file), config.door);
     }
 
-    private static Peers.Place peers(Map<String, String> environment, Config config, String json)
+    private static Peers.Place peers(Map<String, String> environment, Config config, JsonObject json)
             throws IOException {
         String file = environment.get("PROXY_PEERS");
         return file == null ? null : PeersFile.read(Path.of(file), config.settings, json);
@@ -144,21 +135,25 @@
     }
 
     /** With what else the environment names: the operators' address and what is watched. */
-    private Config named(Map<String, String> environment, String json) throws IOException {
+    private Config named(Map<String, String> environment, JsonObject json) throws IOException {
         String other = environment.get("PROXY_ADMIN_ADDR"), shadow = environment.get("PROXY_SHADOW");
         Config config = other == null ? this : operatedAt(address("PROXY_ADMIN_ADDR", other));
         return shadow == null ? config : config.watching(ShadowFile.read(Path.of(shadow), json));
     }
 
     static Config read(String json) {
+        return read(ConfigFile.object(json));
+    }
+
+    private static Config read(JsonObject json) {
         try {
-            return read(JsonParser.parseString(json).getAsJsonObject());
+            return readParts(json);
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException e) {
-            throw new BadInput("not the JSON object that is wanted: " + e.getMessage());
+            throw ConfigFile.unusable(e);
         }
     }
 
-    private static Config read(JsonObject json) {
+    private static Config readParts(JsonObject json) {
         Map<String, String> pairs = new HashMap<>();
         // Danger: a list of thousands is no setting, and would take longer than all else of a start.
         JsonObject stated = new JsonObject();
--- a/src/main/java/lemondrift/serve/PeersFile.java
+++ b/src/main/java/lemondrift/serve/PeersFile.java
@@ -2,7 +2,6 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -21,7 +20,7 @@
     private PeersFile() {}
 
     /** Null where the configuration forbids messages between proxies or names no addresses for them. */
-    static Peers.Place read(Path file, Settings settings, String config) throws IOException {
+    static Peers.Place read(Path file, Settings settings, JsonObject config) throws IOException {
         double pace = PACE, forget = FORGET;
         int part = PART;
         for (Map.Entry<String, JsonElement> each : DoorFile.object(file).entrySet()) {
@@ -37,8 +36,7 @@
             }
         }
         double window = settings.grades().stream().mapToDouble(g -> g.contractTime()).min().orElse(1);
-        return place(JsonParser.parseString(config).getAsJsonObject(), pace * window, forget * window,
-                part);
+        return place(config, pace * window, forget * window, part);
     }
 
     private static Peers.Place place(JsonObject config, double pace, double forget, int part) {
--- a/src/main/java/lemondrift/serve/ShadowFile.java
+++ b/src/main/java/lemondrift/serve/ShadowFile.java
@@ -1,7 +1,6 @@
 package lemondrift.serve;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -18,8 +17,7 @@
 
     private ShadowFile() {}
 
-    static Settings read(Path file, String json) throws IOException {
-        JsonObject whole = JsonParser.parseString(json).getAsJsonObject();
+    static Settings read(Path file, JsonObject whole) throws IOException {
         Map<String, String> pairs = new HashMap<>();
         Config.flatten("", whole.has("settings") ? whole.get("settings") : new JsonObject(), pairs);
         Map<String, String> own = Map.copyOf(pairs);
--- a/src/test/java/lemondrift/serve/LargeFleetTest.java
+++ b/src/test/java/lemondrift/serve/LargeFleetTest.java
@@ -27,13 +27,15 @@
  */
 class LargeFleetTest extends Loopback {
     private static final int BACKENDS = 3200, PROXIES = 100, STEP = 160;
+    /** The machine's last core; the first has work of the system's. */
+    private static final String CORE = String.valueOf(Runtime.getRuntime().availableProcessors() - 1);
     /** Processes that keep the proxy's core busy beside it. */
     private static final int RIVALS = 4;
     /** Milliseconds that a client waits, and after which its request counts as lost. */
     private static final int WAITS = 190, LOST = WAITS + 500;
     /** Milliseconds between two requests and between two versions of the list. */
     private static final int EACH = 20, VERSION = 350;
-    private static final int VERSIONS = 10;
+    private static final int VERSIONS = 10, HANG_UPS = 6;
 
     private final List<Process> rivals = new ArrayList<>();
     private final Queue<String> lost = new ConcurrentLinkedQueue<>();
@@ -64,9 +66,9 @@
     /** A process on one core of the machine that it shares with others. */
     private Process proxyOnAPartOfACore(Path config) throws IOException {
         for (int i = 0; i < RIVALS; i++) {
-            rivals.add(new ProcessBuilder("taskset", "-c", "0", "sh", "-c", "while :; do :; done").start());
+            rivals.add(new ProcessBuilder("taskset", "-c", CORE, "sh", "-c", "while :; do :; done").start());
         }
-        ProcessBuilder command = new ProcessBuilder("taskset", "-c", "0",
+        ProcessBuilder command = new ProcessBuilder("taskset", "-c", CORE,
                 Path.of(System.getProperty("java.home"), "bin/java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-XX:CompileThresholdScaling=0.5", "-Xms48m", "-Xmx88m",
                 "-Xss256k", "-cp", System.getProperty("java.class.path"), "lemondrift.Main", "serve");
@@ -126,6 +128,35 @@
                 .mapToObj(i -> i < some.length ? some[i] : others[i - some.length]).toArray(String[]::new);
     }
 
+    /** Danger: the file has the list of before, and who reads it shares the core with who owes answers. */
+    @Test
+    void whileConfigurationsAreReadAgainInARowEveryRequestIsAnsweredInTime(@TempDir Path folder)
+            throws Exception {
+        try (ManyBackends backends = new ManyBackends(BACKENDS)) {
+            String known = list(1, true, backends.members(0, BACKENDS, "active"));
+            discovery = new StandIn(request -> answer(request, known));
+            back.countDown();
+            Process child = proxyOnAPartOfACore(config(folder, known));
+            try {
+                BufferedReader log = child.inputReader();
+                awaitLine(log, "serving");
+                daemon(() -> log.lines().forEach(line -> { }));
+                askFor(1000);
+                for (int i = 0; i < HANG_UPS; i++) {
+                    signal(child, "HUP");
+                    askFor(VERSION);
+                }
+                askFor(1000);
+                for (Thread client : clients) {
+                    client.join();
+                }
+                assertEquals(List.of(), List.copyOf(lost), "of " + clients.size());
+            } finally {
+                child.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void whileMostOfThousandsOfBackendsAreReplacedEveryRequestIsAnsweredInTime(@TempDir Path folder)
             throws Exception {
