--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -35,8 +35,6 @@
 import lemondrift.model.Word;
 import lemondrift.settings.Grades;
 import lemondrift.tally.Tally;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -48,14 +46,11 @@
 
 /** The clients' side: takes exchanges in, answers them as told, and says when a client has gone. */
 final class Front {
-    private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     private static final HttpString TRACE = new HttpString("X-Trace-Id");
     private static final HttpString GRADE = new HttpString("X-Qos");
     private static final HttpString RETRY = new HttpString("X-Second-Try");
     private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
     private static final HttpString TENANT = new HttpString("X-Customer");
-    /** So many requests that are not served have a line in the log in one second. */
-    private static final int LOGGED_ENDINGS = 5;
     /** Bytes of the longest request. */
     private static final long LONGEST_BODY = 40 << 20;
     /** Bytes of one that are held, and the share of the proxy's memory that all of them may have. */
@@ -72,6 +67,7 @@
     private final Clock clock;
     private final Owner owner;
     private final Tally tally;
+    private final EndingLog endings;
     private final XnioWorker worker;
     private final HttpOpenListener http;
     private final Visitors visitors;
@@ -85,9 +81,6 @@
     /** In its place where the process was given a socket. */
     private InheritedServer inherited;
     private long taken;
-    /** Since when the requests that were not served are counted, and how many there are. */
-    private double endingsSince = Double.NEGATIVE_INFINITY;
-    private int endings;
     private volatile boolean draining;
     /** When the last answers are to be out. */
     private volatile double lastAnswers = Double.POSITIVE_INFINITY;
@@ -103,6 +96,7 @@
         intake = new Intake<>(config.settings().window());
         visitors = new Visitors(clock, worker.getIoThread(), config.door(), config.seed(), tally, this::left);
         this.tally = tally;
+        endings = new EndingLog(tally);
         retuned(grades, config.settings());
         // Danger: with Undertow's buffer for pipelined answers one would wait for the next request's end.
         http = new HttpOpenListener(buffers, OptionMap.builder()
@@ -606,33 +600,13 @@
         }
     }
 
-    /** Why requests are not served, as far as it can be read; the rest of a second is counted. */
-    private void log(HttpServerExchange client, boolean shed) {
-        double now = clock.now();
-        if (now >= endingsSince + 1) {
-            endingsSince = now;
-            if (endings > LOGGED_ENDINGS) {
-                LOG.info("not served, and not logged: {} requests, overdue so far: {}",
-                        endings - LOGGED_ENDINGS, tally.overdue());
-            }
-            endings = 0;
-        }
-        Exchange x = client.getAttachment(VISITOR).exchange;
-        if (++endings <= LOGGED_ENDINGS && x != null) {
-            LOG.info("not served trace={} class={} {}={} attempts={} age={}s left={}s",
-                    only(client.getRequestHeaders(), TRACE), only(client.getRequestHeaders(), GRADE),
-                    shed ? "rejected" : "failed", x.ending, x.forwards, seconds(now - x.arrived),
-                    seconds(x.expiry - now));
-        }
-    }
-
-    private static String seconds(double span) {
-        return String.valueOf(Math.round(span * 1000) / 1000.0);
-    }
-
     /** A shed answer promises that a retry is harmless; a scrapped one promises nothing. */
     void giveUp(HttpServerExchange client, boolean shed, double retryAfter) {
-        log(client, shed);
+        Exchange x = client.getAttachment(VISITOR).exchange;
+        if (x != null) {
+            endings.notServed(x, only(client.getRequestHeaders(), TRACE),
+                    only(client.getRequestHeaders(), GRADE), shed, clock.now());
+        }
         if (shed && retryAfter > 0) {
             client.getResponseHeaders().put(Headers.RETRY_AFTER,
                     String.valueOf(Math.ceil(retryAfter * 1000) / 1000));
--- a/src/test/java/lemondrift/serve/AdminTest.java
+++ b/src/test/java/lemondrift/serve/AdminTest.java
@@ -90,6 +90,7 @@
         operate(backend(OK));
         assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 200 "));
         assertTrue(call("GET", "/admin/nothing").startsWith("HTTP/1.1 404 "));
+        assertTrue(call("GET", "/admin/loop").startsWith("HTTP/1.1 200 "));
         assertTrue(call("GET", "/healthz").startsWith("HTTP/1.1 404 "));
         String wrong = call("GET", "/admin/quiesce");
         assertTrue(wrong.startsWith("HTTP/1.1 405 ") && wrong.contains("Allow: PUT\r\n"), wrong);
