Tests: waiting for a line of a process's log ends after a minute

Cause: with SIGHUP ignored (nohup) ProxyTest.aHangUpMoves... waited for a line that never comes, without a bound, and one run of LargeFleetTest stood for 387 s. Changed: Loopback.awaitLine fails after a minute; ProxyTest uses it.

--- a/src/test/java/lemondrift/serve/Loopback.java
+++ b/src/test/java/lemondrift/serve/Loopback.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
@@ -227,9 +228,15 @@
         assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid())).start().waitFor());
     }
 
+    /** Fails where no such line comes within a minute, as where its process has ended or ignores a signal. */
     static void awaitLine(BufferedReader log, String has) throws IOException {
+        long until = System.nanoTime() + TimeUnit.MINUTES.toNanos(1);
         for (String line = ""; !line.contains(has); line = log.readLine()) {
             assertNotNull(line, "no line with " + has);
+            while (!log.ready()) {
+                assertTrue(System.nanoTime() < until, "no line with " + has + " within a minute");
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+            }
         }
     }
 
--- a/src/test/java/lemondrift/serve/ProxyTest.java
+++ b/src/test/java/lemondrift/serve/ProxyTest.java
@@ -216,9 +216,7 @@
             awaitWatch("from=7");
             Files.writeString(file, "nonsense");
             hangUp(child);
-            for (String line = ""; !line.contains("new configuration not used"); line = log.readLine()) {
-                assertNotNull(line);
-            }
+            awaitLine(log, "new configuration not used");
             for (StandIn each : List.of(next, old)) {
                 Files.writeString(file, config(each.port(), false));
                 hangUp(child);
