The loop's figures read no clock for each event and format nothing while requests wait

By reading, what is new on the deciding thread: two clock reads an event, a String.format each second whose first call is cold, more formatting for each request not served. Changed: one clock read a turn, an arrival's wait by the time that is there already, plain counters, JSON made by whoever asks, lines joined without a formatter.

--- a/src/main/java/lemondrift/serve/EndingLog.java
+++ b/src/main/java/lemondrift/serve/EndingLog.java
@@ -26,9 +26,10 @@
             secondBegan = now;
         }
         if (++inThisSecond <= MOST) {
-            LOG.info("not served trace={} class={} {}={} attempts={} age={}s left={}s", trace, requestClass,
-                    rejected ? "rejected" : "failed", x.ending, x.forwards, seconds(now - x.arrived),
-                    seconds(x.expiry - now));
+            LOG.info("not served trace=" + trace + " class=" + requestClass
+                    + (rejected ? " rejected=" : " failed=")
+                    + x.ending + " attempts=" + x.forwards + " age_ms=" + milliseconds(now - x.arrived)
+                    + " left_ms=" + milliseconds(x.expiry - now));
         }
     }
 
@@ -40,7 +41,7 @@
         inThisSecond = 0;
     }
 
-    private static double seconds(double span) {
-        return Math.round(span * 1000) / 1000.0;
+    private static long milliseconds(double seconds) {
+        return Math.round(seconds * 1000);
     }
 }
--- a/src/main/java/lemondrift/serve/Owner.java
+++ b/src/main/java/lemondrift/serve/Owner.java
@@ -35,12 +35,14 @@
     /** How many events are handled before the sockets are told what came of them. */
     private static final int AT_A_TIME = 32;
     private static final double LONGEST_WAIT = 10;
+    /** When an event came, where nobody has looked. */
+    private static final double UNKNOWN = Double.POSITIVE_INFINITY;
     /** Seconds in which others may run between two slices of a list. */
     private static final double BETWEEN_SLICES = 0.001;
     /** How often, in seconds, the log has what watching has counted. */
     private static final double SHOWN = 60;
 
-    /** Something that happened, when, and the exchange that it is about, if any. */
+    /** Something that happened, when if that is known, and the exchange that it is about, if any. */
     private record Event(LoopFigures.Kind kind, double came, Exchange about, Supplier<Turn> call) {}
 
     /** Lists that are not followed whole yet, the oldest first. */
@@ -53,6 +55,7 @@
     private final Map<Exchange, Taken> open = new HashMap<>();
     private final Thread thread = new Thread(this::run, "owner");
     private final LoopFigures figures = new LoopFigures();
+    private double turnBegan;
     /** What others tell and are told; null where they tell nothing. */
     private Tellings tellings;
     /** The way back after the start; null where nobody is asked. */
@@ -351,9 +354,11 @@
         put(LoopFigures.Kind.OTHER, about, call);
     }
 
+    /** Danger: to read the clock for each event takes more of a small part of a core than most events do. */
     private void put(LoopFigures.Kind kind, Exchange about, Supplier<Turn> call) {
+        double came = kind == LoopFigures.Kind.ARRIVAL ? about.arrived : UNKNOWN;
         try {
-            queue.put(new Event(kind, clock.now(), about, call));
+            queue.put(new Event(kind, came, about, call));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -368,7 +373,7 @@
                 double wait = Math.min(updates.isEmpty() ? LONGEST_WAIT : BETWEEN_SLICES, next - clock.now());
                 long nanos = (long) (Math.max(0, wait) * 1e9);
                 Event event = queue.poll(nanos, TimeUnit.NANOSECONDS);
-                double began = clock.now();
+                turnBegan = clock.now();
                 int handled = 0;
                 if (tellings != null) {
                     tellings.hear(clock.now());
@@ -392,7 +397,7 @@
                     showAtTimes();
                 }
                 if (arrived > 0) {
-                    hands.decided(arrived, clock.now() - began);
+                    hands.decided(arrived, clock.now() - turnBegan);
                     arrived = 0;
                 }
                 if (comeback != null) {
@@ -402,6 +407,7 @@
                     tellings.tellings(clock.now()).forEach(hands::tell);
                 }
                 hands.act();
+                turned(clock.now());
             } catch (InterruptedException e) {
                 return;
             }
@@ -410,12 +416,12 @@
 
     /** What nobody has waited for. */
     private Event own(LoopFigures.Kind kind, Supplier<Turn> call) {
-        return new Event(kind, clock.now(), null, call);
+        return new Event(kind, UNKNOWN, null, call);
     }
 
     /** How it keeps up, as JSON. Any thread. */
     String figures() {
-        return figures.latest();
+        return figures.json();
     }
 
     private Word word(int grade) {
@@ -423,11 +429,12 @@
     }
 
     private void handle(Event event) {
-        double began = clock.now();
+        figures.handles(event.kind, turnBegan - event.came);
         carryOut(event);
-        double ended = clock.now();
-        figures.handled(event.kind, event.came, began, ended, queue.size());
-        String line = figures.line(ended);
+    }
+
+    private void turned(double now) {
+        String line = figures.turned(now - turnBegan, queue.size(), now);
         if (line != null) {
             LOG.info("decision loop {}", line);
         }
--- a/src/main/java/lemondrift/tally/LoopFigures.java
+++ b/src/main/java/lemondrift/tally/LoopFigures.java
@@ -1,74 +1,79 @@
 package lemondrift.tally;
 
-import java.util.EnumMap;
-import java.util.Locale;
-import java.util.Map;
-
 /**
- * How the one thread that decides keeps up: how long events waited for it and how long it was busy with one.
- * Times are in seconds. Its thread only, but for latest.
+ * How the one thread that decides keeps up: how long events waited for it, and how long it was busy before it
+ * came to the next ones. Times are in seconds. One thread counts; any thread may read, perhaps a little late.
  */
 public final class LoopFigures {
     /** What an event is about. */
     public enum Kind { ARRIVAL, OUTCOME, CLIENT_LEFT, LIST, TIMER, OTHER }
 
-    /** A wait or an event as long is worth a line in the log, and so many seconds lie between two lines. */
+    /** A wait or a turn as long is worth a line in the log, and so many seconds lie between two lines. */
     private static final double NOTABLE = 0.05, BETWEEN_LINES = 1;
+    private static final Kind[] KINDS = Kind.values();
 
-    private final Map<Kind, Long> handled = new EnumMap<>(Kind.class);
-    private double longestWait, longestEvent;
-    private Kind waited = Kind.OTHER, lasted = Kind.OTHER;
-    private int longestQueue;
+    private final long[] handled = new long[KINDS.length];
+    private volatile double longestWait, longestTurn;
+    private volatile Kind waited = Kind.OTHER, lasted = Kind.OTHER;
+    private volatile int longestQueue;
+    /** Of the present turn: the longest wait and what had waited, and the last event that was handled. */
+    private double waitsNow;
+    private Kind waiting = Kind.OTHER, last = Kind.OTHER;
     /** The same since the last line in the log. */
     private double latelyWaited, latelyLasted, loggedAt = Double.NEGATIVE_INFINITY;
-    private volatile String latest = "{}";
 
-    /** An event was handled which came, began and ended then; so many wait behind it. */
-    public void handled(Kind kind, double came, double began, double ended, int queue) {
-        handled.merge(kind, 1L, Long::sum);
+    /** An event is handled that has waited so long; below 0 where nobody knows. */
+    public void handles(Kind kind, double wait) {
+        handled[kind.ordinal()]++;
+        last = kind;
+        if (wait > waitsNow) {
+            waitsNow = wait;
+            waiting = kind;
+        }
+    }
+
+    /** A turn is over that took so long; so many events wait now. A line for the log, or null. */
+    public String turned(double seconds, int queue, double now) {
         longestQueue = Math.max(longestQueue, queue);
-        latelyWaited = Math.max(latelyWaited, began - came);
-        latelyLasted = Math.max(latelyLasted, ended - began);
-        if (began - came > longestWait) {
-            longestWait = began - came;
-            waited = kind;
+        if (waitsNow > longestWait) {
+            longestWait = waitsNow;
+            waited = waiting;
         }
-        if (ended - began > longestEvent) {
-            longestEvent = ended - began;
-            lasted = kind;
+        if (seconds > longestTurn) {
+            longestTurn = seconds;
+            lasted = last;
         }
+        latelyWaited = Math.max(latelyWaited, waitsNow);
+        latelyLasted = Math.max(latelyLasted, seconds);
+        waitsNow = 0;
+        boolean notable = Math.max(latelyWaited, latelyLasted) > NOTABLE && now >= loggedAt + BETWEEN_LINES;
+        return notable ? line(now) : null;
     }
 
-    /** A line for the log where there is something notable since the last one; null where there is none. */
-    public String line(double now) {
-        if (now < loggedAt + BETWEEN_LINES) {
-            return null;
-        }
-        latest = json();
-        boolean notable = Math.max(latelyWaited, latelyLasted) > NOTABLE;
-        String line = !notable ? null : String.format(Locale.ROOT, "lately_waited=%.3fs lately_lasted=%.3fs "
-                + "longest_wait=%.3fs of=%s longest_event=%.3fs of=%s longest_queue=%d handled=%s",
-                latelyWaited, latelyLasted, longestWait, waited, longestEvent, lasted, longestQueue, handled);
+    private String line(double now) {
+        String line = "lately_waited_ms=" + milliseconds(latelyWaited) + " lately_lasted_ms="
+                + milliseconds(latelyLasted) + " longest_wait_ms=" + milliseconds(longestWait) + " of="
+                + waited + " longest_turn_ms=" + milliseconds(longestTurn) + " of=" + lasted
+                + " longest_queue=" + longestQueue;
         latelyWaited = latelyLasted = 0;
         loggedAt = now;
         return line;
     }
 
-    private String json() {
-        StringBuilder all = new StringBuilder(String.format(Locale.ROOT,
-                "{\"longest_wait\":%.6f,\"longest_wait_of\":\"%s\",\"longest_event\":%.6f,"
-                + "\"longest_event_of\":\"%s\",\"longest_queue\":%d,\"handled\":{", longestWait, waited,
-                longestEvent, lasted, longestQueue));
-        String between = "";
-        for (Map.Entry<Kind, Long> each : handled.entrySet()) {
-            all.append(between).append('"').append(each.getKey()).append("\":").append(each.getValue());
-            between = ",";
-        }
-        return all.append("}}").toString();
+    private static long milliseconds(double seconds) {
+        return Math.round(seconds * 1000);
     }
 
-    /** As JSON, as of the last second in which there was an event. Any thread. */
-    public String latest() {
-        return latest;
+    /** As JSON, times in seconds. Any thread. */
+    public String json() {
+        StringBuilder all = new StringBuilder("{\"longest_wait\":").append(longestWait)
+                .append(",\"longest_wait_of\":\"").append(waited).append("\",\"longest_turn\":")
+                .append(longestTurn).append(",\"longest_turn_of\":\"").append(lasted)
+                .append("\",\"longest_queue\":").append(longestQueue).append(",\"handled\":{");
+        for (Kind kind : KINDS) {
+            all.append(kind.ordinal() == 0 ? "\"" : ",\"").append(kind).append("\":")
+                    .append(handled[kind.ordinal()]);
+        }
+        return all.append("}}").toString();
     }
 }
--- a/src/test/java/lemondrift/tally/LoopFiguresTest.java
+++ b/src/test/java/lemondrift/tally/LoopFiguresTest.java
@@ -12,17 +12,21 @@
 
     @Test
     void aLongWaitIsALineOfTheLogOnceAndStaysAmongTheFigures() {
-        figures.handled(LoopFigures.Kind.ARRIVAL, 9.999, 10, 10.001, 0);
-        assertNull(figures.line(10.001), "nothing of note");
-        figures.handled(LoopFigures.Kind.TIMER, 10.1, 10.4, 10.41, 7);
-        assertNull(figures.line(10.5), "a line a second at the most");
-        assertTrue(figures.line(11.01).contains("lately_waited=0.300s"));
-        assertNull(figures.line(12.02), "no longer of late");
-        JsonObject told = JsonParser.parseString(figures.latest()).getAsJsonObject();
-        assertEquals(0.3, told.get("longest_wait").getAsDouble(), 1e-6);
+        figures.handles(LoopFigures.Kind.ARRIVAL, 0.001);
+        assertNull(figures.turned(0.001, 0, 10), "nothing of note");
+        figures.handles(LoopFigures.Kind.TIMER, 0.3);
+        figures.handles(LoopFigures.Kind.LIST, -1);
+        assertTrue(figures.turned(0.06, 7, 10.5).startsWith("lately_waited_ms=300 lately_lasted_ms=60"));
+        figures.handles(LoopFigures.Kind.ARRIVAL, 0.2);
+        assertNull(figures.turned(0.01, 0, 11), "a line a second at the most");
+        assertTrue(figures.turned(0.01, 0, 11.6).startsWith("lately_waited_ms=200"));
+        assertNull(figures.turned(0.01, 0, 13), "no longer of late");
+        JsonObject told = JsonParser.parseString(figures.json()).getAsJsonObject();
+        assertEquals(0.3, told.get("longest_wait").getAsDouble());
         assertEquals("TIMER", told.get("longest_wait_of").getAsString());
-        assertEquals(0.01, told.get("longest_event").getAsDouble(), 1e-6);
+        assertEquals(0.06, told.get("longest_turn").getAsDouble());
+        assertEquals("LIST", told.get("longest_turn_of").getAsString());
         assertEquals(7, told.get("longest_queue").getAsInt());
-        assertEquals(1, told.getAsJsonObject("handled").get("ARRIVAL").getAsInt());
+        assertEquals(2, told.getAsJsonObject("handled").get("ARRIVAL").getAsInt());
     }
 }
