No attempt for a client whose close has come while the I/O thread was held up

Forced on loopback: the I/O thread stands, the client closes, the owner decides; the wish to send is done before the close is read (Proxy.Sockets.act runs before the selector), so Front.awaits still took the client for there. Changed: awaits reads what has come on the client's connection first, as it is done after a standstill (lookAhead). CrossingsTest.whoLeavesWhileTheSocketsAreHeldUpIsNotSentOn failed without it.

--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -524,8 +524,18 @@
         }
     }
 
-    /** Whether its client is there and has no answer yet. */
+    /**
+     * Whether its client is there and has no answer yet. Danger: whoever has closed is known to have gone once
+     * its connection is read, and this may be asked before that where the I/O thread was held up.
+     */
     boolean awaits(Taken taken) {
+        if (isOpen(taken) && taken.client().isRequestComplete()) {
+            lookAhead((AbstractServerConnection) taken.client().getConnection());
+        }
+        return isOpen(taken);
+    }
+
+    private static boolean isOpen(Taken taken) {
         return taken.client().getAttachment(VISITOR).exchange == taken.exchange()
                 && !taken.client().isResponseStarted();
     }
--- a/src/test/java/lemondrift/serve/CrossingsTest.java
+++ b/src/test/java/lemondrift/serve/CrossingsTest.java
@@ -288,6 +288,33 @@
         nothingIsInHand();
     }
 
+    /** Danger: what is decided meanwhile is done before the closes are read that came meanwhile. */
+    @Test
+    void whoLeavesWhileTheSocketsAreHeldUpIsNotSentOn() throws Exception {
+        mayCancel = false;
+        StandIn backend = backend(OK);
+        start(backend);
+        assertEquals(200, look().statusCode(), "a connection to be used again");
+        backend.requests.clear();
+        CountDownLatch decides = new CountDownLatch(1), left = new CountDownLatch(1);
+        proxy.onOwner(() -> awaits(decides));
+        try (Socket client = client()) {
+            write(client, get("b"));
+            awaitOnIo(1);
+            proxy.onIo(() -> {
+                awaits(left);
+                decides.countDown();
+                // Nothing is read until the attempt has been decided and is to be made.
+                CountDownLatch decided = new CountDownLatch(1);
+                proxy.onOwner(decided::countDown);
+                awaits(decided);
+            });
+        }
+        left.countDown();
+        nothingIsInHand();
+        assertTrue(backend.requests.isEmpty(), "its client had gone");
+    }
+
     /** Danger: a backend works on for a client that has long gone, by a time that passed in a handshake. */
     @Test
     void theTimeToldToABackendIsWhatIsLeftWhenItsConnectionIsUp() throws Exception {
