--- a/src/main/java/lemondrift/serve/Front.java
+++ b/src/main/java/lemondrift/serve/Front.java
@@ -525,8 +525,8 @@
     }
 
     /**
-     * Whether its client is there and has no answer yet. Danger: whoever has closed is known to have gone once
-     * its connection is read, and this may be asked before that where the I/O thread was held up.
+     * Whether its client is there and has no answer yet. Danger: whoever has closed is known to have gone
+     * once its connection is read, and this may be asked before that where the I/O thread was held up.
      */
     boolean awaits(Taken taken) {
         if (isOpen(taken) && taken.client().isRequestComplete()) {
