An unsent request is rejected when overdue, not failed: 502 said that it may have run

Callers saw: after a pause of the process, 502 (may have been executed) for requests whose time had passed and of which nothing had been sent; 503 or 502 was a race. At the end of a shutdown 502 for open requests of classes that bear a retry.

Cause: three places told a client how its request ended, each by its own rule. RequestAdmission (OVERDUE, on the I/O thread) always failed it; DecisionExecutor.endOpenRequests (SHUTDOWN) went by whether there was any attempt; only RequestDeadlines.replyLocally by what may have run. Evidence: log line of a failing run "failed=OVERDUE attempts=0", of a passing one "rejected=NO_TIME_LEFT attempts=0"; with the decision loop blocked the 502 comes each time.

Mend: the I/O thread sends, so it notes on PendingRequest when the last byte of an attempt has gone; overdue requests are rejected where none has or the class bears a retry. Shutdown ends requests through the balancer. The class answers whether a retry is harmless, for both threads. Nothing is sent after the reply, as each write asks first whether the client still waits.

--- a/src/main/java/lemondrift/balancer/LoadBalancer.java
+++ b/src/main/java/lemondrift/balancer/LoadBalancer.java
@@ -5,6 +5,7 @@
 import lemondrift.model.AttemptOutcome;
 import lemondrift.model.Decision;
 import lemondrift.model.EndpointUpdate;
+import lemondrift.model.FailureReason;
 import lemondrift.model.Request;
 import lemondrift.model.ServiceTime;
 import lemondrift.model.Settings;
@@ -208,6 +209,11 @@
         return decide(now, () -> deadlines.requestAbandoned(request, decision));
     }
 
+    /** A request that is still open ends with a reply of the proxy's own, for this reason. */
+    public Decision endRequest(double now, Request request, FailureReason reason) {
+        return decide(now, () -> deadlines.replyLocally(request, reason, 0, decision));
+    }
+
     /** The time asked for by {@link Decision#wakeAt} has come. */
     public Decision wake(double now) {
         return decide(
--- a/src/main/java/lemondrift/balancer/RetryPolicy.java
+++ b/src/main/java/lemondrift/balancer/RetryPolicy.java
@@ -47,11 +47,8 @@
      * is harmless.
      */
     static boolean isClientRetryHarmless(Request request) {
-        RequestClass requestClass = request.terms.requestClass();
-        return requestClass.idempotency() == Idempotency.IDEMPOTENT
-                || (request.possiblyExecuted == null && request.attemptsInFlight == 0)
-                || (requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
-                        && requestClass.deduplicationScope() == DeduplicationScope.ALL);
+        return request.terms.requestClass().isClientRetryHarmless()
+                || (request.possiblyExecuted == null && request.attemptsInFlight == 0);
     }
 
     @Override
--- a/src/main/java/lemondrift/metrics/ProxyMetrics.java
+++ b/src/main/java/lemondrift/metrics/ProxyMetrics.java
@@ -69,7 +69,7 @@
     }
 
     /** A request was failed on the client's side, as it was not decided by its deadline. */
-    public void overdueRequestFailed() {
+    public void overdueRequestEnded() {
         overdueRequests++;
     }
 
--- a/src/main/java/lemondrift/proxy/backend/BackendClient.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendClient.java
@@ -143,7 +143,10 @@
                                 responseSeconds,
                                 STREAM_AFTER_SHARE * responseSeconds),
                         () -> isClientWaiting.test(pending),
-                        metrics::attemptSent,
+                        () -> {
+                            pending.attemptSent();
+                            metrics.attemptSent();
+                        },
                         response -> ended(attempt, streamedBody != null, response));
         if (call == null) {
             notSent(attempt);
--- a/src/main/java/lemondrift/proxy/client/ClientConnection.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnection.java
@@ -47,8 +47,8 @@
     /** Stops the relay of a long response, null where none runs. */
     Runnable stopRelay;
 
-    /** Fails the open request when it is overdue; null unless all of it has come. */
-    Runnable failOverdue;
+    /** Ends the open request when it is overdue; null unless all of it has come. */
+    Runnable endOverdue;
 
     private final ConnectionPolicy policy;
     private final MonotonicClock clock;
@@ -254,7 +254,7 @@
             body = null;
         }
         request = null;
-        failOverdue = null;
+        endOverdue = null;
         requestId = null;
         return ended;
     }
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -35,7 +35,7 @@
     /** While it drains, sweeps in each interval that the policy asks for. */
     private static final int DRAINING_SWEEPS = 4;
 
-    /** Seconds after its deadline from which a request that is not decided is failed here. */
+    /** Seconds after its deadline from which a request that is still open is ended here. */
     private static final double OVERDUE_SECONDS = 0.1;
 
     /** The least time between two log lines about too many connections. */
@@ -175,21 +175,21 @@
     private void sweep() {
         if (!stopped) {
             policy.sweep(clock.now());
-            failOverdue(clock.now());
+            endOverdue(clock.now());
             logOverLimit();
         }
     }
 
     /** Guards against requests that are never answered, whatever keeps the balancer. */
-    private void failOverdue(double now) {
+    private void endOverdue(double now) {
         if (openRequestIds.isEmpty()) {
             return;
         }
         for (ClientConnection connection : byIndex) {
             if (connection != null
-                    && connection.failOverdue != null
+                    && connection.endOverdue != null
                     && now > connection.request.deadline + OVERDUE_SECONDS) {
-                connection.failOverdue.run();
+                connection.endOverdue.run();
             }
         }
     }
--- a/src/main/java/lemondrift/proxy/client/RequestAdmission.java
+++ b/src/main/java/lemondrift/proxy/client/RequestAdmission.java
@@ -13,9 +13,12 @@
 /**
  * Hands requests to the balancer as fast as it decides them. What can't be decided in time is held
  * back here, or shed (503, WAIT_TOO_LONG) by the balancer's threshold; what the balancer leaves
- * undecided past its deadline is failed (502, OVERDUE). I/O thread only.
+ * open past its deadline is ended here (OVERDUE). I/O thread only.
  */
 final class RequestAdmission {
+    /** A rejection whose response has no Retry-After. */
+    private static final double NO_RETRY_AFTER = 0;
+
     private final RequestQueue<PendingRequest> requestQueue;
     private final DecisionEvents decisionEvents;
     private final ResponseWriter responses;
@@ -82,15 +85,28 @@
         }
     }
 
-    /** Fails a request that is past its deadline, whatever keeps the balancer. */
-    void failOverdue(PendingRequest pending) {
+    /**
+     * Ends a request that is past its deadline, whatever keeps the balancer: as rejected where a
+     * retry of the client is harmless, else as failed. No attempt is sent after that.
+     */
+    void endOverdue(PendingRequest pending) {
         if (!ClientCloseWatch.isClientWaiting(pending)) {
             return;
         }
         Request request = pending.request();
         request.failureReason = FailureReason.OVERDUE;
-        metrics.overdueRequestFailed();
-        responses.fail(pending.exchange());
+        metrics.overdueRequestEnded();
+        if (isClientRetryHarmless(pending)) {
+            responses.reject(pending.exchange(), NO_RETRY_AFTER);
+        } else {
+            responses.fail(pending.exchange());
+        }
         decisionEvents.requestAbandoned(request);
     }
+
+    /** By what was sent, which this thread knows whatever the decisions are busy with. */
+    private static boolean isClientRetryHarmless(PendingRequest pending) {
+        return !pending.mayHaveBeenExecuted()
+                || pending.request().terms.requestClass().isClientRetryHarmless();
+    }
 }
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -169,7 +169,7 @@
             ClientCloseWatch.checkNow(exchange);
         }
         PendingRequest pending = new PendingRequest(request, exchange, body, null);
-        connection.failOverdue = () -> admission.failOverdue(pending);
+        connection.endOverdue = () -> admission.endOverdue(pending);
         admission.offer(pending);
     }
 
--- a/src/main/java/lemondrift/proxy/client/package-info.java
+++ b/src/main/java/lemondrift/proxy/client/package-info.java
@@ -12,7 +12,8 @@
  *       that {@code RequestValidator} does not accept (400) or that are too long (413). A head that
  *       can't be parsed is refused by Undertow before.
  *   <li>{@code RequestAdmission} queues requests for the balancer, sheds what can't be decided in
- *       time (503), and fails what the balancer leaves overdue (502).
+ *       time (503), and ends what the balancer leaves overdue (503, or 502 where it may have been
+ *       executed and the class can't bear a second time).
  *   <li>{@code ResponseWriter} writes responses and counts them.
  *   <li>{@code ClientCloseWatch} notices that a client has closed while its response is awaited.
  * </ul>
--- a/src/main/java/lemondrift/proxy/events/DecisionEvents.java
+++ b/src/main/java/lemondrift/proxy/events/DecisionEvents.java
@@ -38,7 +38,7 @@
     void probeEnded(int backend, AttemptOutcome outcome, double[] loadReport);
 
     /**
-     * Nobody waits for a response any more: the client left, or its request was failed as overdue.
+     * Nobody waits for a response any more: the client left, or its request was ended as overdue.
      */
     void requestAbandoned(Request request);
 
--- a/src/main/java/lemondrift/proxy/logging/FailureLog.java
+++ b/src/main/java/lemondrift/proxy/logging/FailureLog.java
@@ -21,7 +21,7 @@
     private double secondStartedAt = Double.NEGATIVE_INFINITY;
     private int requestsInSecond;
 
-    /** A log without lines yet; the metrics tell how many requests failed overdue. */
+    /** A log without lines yet; the metrics tell how many requests were overdue. */
     public FailureLog(ProxyMetrics metrics) {
         this.metrics = metrics;
     }
--- a/src/main/java/lemondrift/proxy/loop/DecisionLoop.java
+++ b/src/main/java/lemondrift/proxy/loop/DecisionLoop.java
@@ -217,9 +217,7 @@
         put(EventType.SETTINGS_APPLIED, () -> activeSettings.applied(classesInUse));
     }
 
-    /**
-     * Fails all open requests; those without an attempt are rejected. At the end of the process.
-     */
+    /** Ends all open requests, as rejected where a retry is harmless. At the end of the process. */
     public void endOpenRequests() {
         put(EventType.SHUTDOWN, executor::endOpenRequests);
     }
