SIGHUP at any moment of the start ends no process; one reading answers all that came

Callers saw: a proxy less, until its platform started it again, where a SIGHUP came in the first 40 to 240 ms of a process; with exit 0 perhaps none at all.

Mend: run has the shell ignore SIGHUP; the program takes it over as its first step, before hook and logger. What was replaced before that is what the start reads. Later signals are held back until the proxy serves and cost one reading together (CoalescingTask); each used to cost one. A start under nohup, which took no configuration without a word, is mended with it.

--- a/src/main/java/lemondrift/proxy/lifecycle/ProxyLauncher.java
+++ b/src/main/java/lemondrift/proxy/lifecycle/ProxyLauncher.java
@@ -16,8 +16,6 @@
 
 /** Starts the proxy from its environment; handles SIGTERM and SIGHUP. */
 public final class ProxyLauncher {
-    private static final Logger LOG = LoggerFactory.getLogger(ProxyLauncher.class);
-
     /** Names the descriptor of a listening socket that the platform holds. */
     private static final String INHERITED_SOCKET_VARIABLE = "PROXY_INHERITED_FD";
 
@@ -26,11 +24,14 @@
 
     private final Map<String, String> environment;
 
+    /** Held back until the proxy serves. */
+    private final CoalescingTask reload = new CoalescingTask(this::reload);
+
     /** Null until the start has come that far. */
     private volatile ProxyServer proxyServer;
 
-    /** Whether a SIGHUP has come. */
-    private volatile boolean hungUp;
+    /** Null until the start has come that far. */
+    private volatile AsyncLog asyncLog;
 
     private ProxyLauncher(Map<String, String> environment) {
         this.environment = environment;
@@ -38,9 +39,11 @@
 
     /** Returns an exit code where the proxy can't start, else 0, and the proxy runs on. */
     public static int run(Map<String, String> environment, PrintStream err) {
+        ProxyLauncher launcher = new ProxyLauncher(environment);
+        launcher.handleSignals();
         configureLibraries();
         try {
-            new ProxyLauncher(environment).start();
+            launcher.start();
             return 0;
         } catch (IOException | RuntimeException e) {
             return failed(e, err);
@@ -80,7 +83,8 @@
 
     private void start() throws IOException {
         ProxyConfig config = ProxyConfig.read(environment);
-        handleSignals();
+        // Asynchronous, as a stopped reader of the log would stop each thread that logs.
+        asyncLog = AsyncLog.ofStandardError();
         ServerSocketChannel inheritedSocket = inheritedSocket(environment);
         XnioWorker worker = ProxyServer.worker();
         TakeoverLock takeoverLock =
@@ -94,34 +98,28 @@
         if (takeoverLock != null) {
             server.watchOtherProcesses(takeoverLock);
         }
-        LOG.info("{} starts, listens on {}", config.name(), config.listen());
+        log().info("{} starts, listens on {}", config.name(), config.listen());
         server.serve(inheritedSocket);
         if (adminServer != null) {
             adminServer.setOperations(server.adminOperations());
         }
-        if (hungUp) {
-            // The file may have been replaced after it was read for this start.
-            reload();
-        }
+        reload.release();
     }
 
-    /** Guards against a signal before there is a proxy, which would end the process as a crash. */
+    /**
+     * Guards against a signal during the start, which would end the process as a crash: before all
+     * else, the logger included, which takes its time.
+     */
     private void handleSignals() {
-        // Asynchronous, as a stopped reader of the log would stop each thread that logs.
-        AsyncLog log = AsyncLog.ofStandardError();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> onTerminate(log), "drain"));
-        HangUpSignal.handleWith(
-                () -> {
-                    hungUp = true;
-                    reload();
-                });
+        HangUpSignal.handleWith(reload::request);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::onTerminate, "drain"));
     }
 
     /**
      * SIGTERM: answers what was accepted, writes the log's last lines and exits with 0. Runs as the
      * JVM's shutdown hook.
      */
-    private void onTerminate(AsyncLog log) {
+    private void onTerminate() {
         try {
             if (proxyServer != null) {
                 proxyServer.drain();
@@ -130,29 +128,27 @@
             // Wide, as the process ends with 0 whatever failed on the way.
             Thread.currentThread().interrupt();
         }
-        log.drain(LOG_DRAIN_SECONDS);
+        if (asyncLog != null) {
+            asyncLog.drain(LOG_DRAIN_SECONDS);
+        }
         // A JVM that a signal ends would exit with 143, which a platform takes for a crash.
         Runtime.getRuntime().halt(0);
     }
 
     /**
      * SIGHUP: reads the configuration again and applies it; one that can't be used changes nothing
-     * and leaves a line in the log. Nothing is done before there is a proxy. Synchronized to guard
-     * against two signals in a row, each on its thread, of which the older file is applied last.
+     * and leaves a line in the log. Several at once, or during the start, cost one reading.
      */
-    private synchronized void reload() {
-        if (proxyServer == null) {
-            return;
-        }
+    private void reload() {
         try {
             proxyServer.reload(ProxyConfig.readAgain(environment, proxyServer.config()));
         } catch (IOException | RuntimeException | LinkageError e) {
             // Wide, as the proxy serves on whatever the file holds; LinkageError where the archive
             // was replaced under the running program and lacks a class.
             proxyServer.reloadFailed();
-            LOG.warn(
-                    "new configuration not used, the old one stays: {}",
-                    e.toString().replace('\n', ' '));
+            log().warn(
+                            "new configuration not used, the old one stays: {}",
+                            e.toString().replace('\n', ' '));
         }
     }
 
@@ -194,9 +190,14 @@
         try {
             Warmup.play(config);
         } catch (IOException | RuntimeException e) {
-            LOG.warn("warm-up failed: {}", e.toString());
+            log().warn("warm-up failed: {}", e.toString());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Not a constant: to make it takes time in which a signal would still end the process. */
+    private static Logger log() {
+        return LoggerFactory.getLogger(ProxyLauncher.class);
+    }
 }
--- a/src/main/java/lemondrift/proxy/lifecycle/package-info.java
+++ b/src/main/java/lemondrift/proxy/lifecycle/package-info.java
@@ -6,8 +6,10 @@
  *       code up ({@link lemondrift.proxy.lifecycle.Warmup}) and starts the proxy.
  *   <li>SIGTERM: {@code ProxyLauncher.onTerminate}, then {@code ProxyServer.drain} and {@code
  *       GracefulShutdown}, which lists the steps with their times. Exit code 0.
- *   <li>SIGHUP: {@code ProxyLauncher.reload} reads the configuration again, then {@code
- *       ProxyServer.reload} and {@code ConfigReload}, which says what changes and what stays.
+ *   <li>SIGHUP: handled before all else ({@code HangUpSignal}); held back until the proxy serves,
+ *       and one reading for a series ({@code CoalescingTask}). {@code ProxyLauncher.reload} reads
+ *       the configuration again, then {@code ProxyServer.reload} and {@code ConfigReload}, which
+ *       says what changes and what stays.
  *   <li>Hot restart: {@link lemondrift.proxy.lifecycle.TakeoverLock} tells two processes of one
  *       proxy of each other.
  * </ul>
--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import lemondrift.lab.simulation.FaultTarget;
 import lemondrift.lab.simulation.RunResult;
 import lemondrift.lab.simulation.Scenario;
+import lemondrift.proxy.ProxyProcess;
 
 /** Small fleets of real processes that run the classes under test. */
 final class Fleets {
@@ -57,10 +59,10 @@
                 List.of());
     }
 
-    static ProcessLauncher launcher(Path peers, Path recovery) {
-        return new ProcessLauncher(
+    static ProcessLauncher launcher(Path peers, Path recovery) throws IOException {
+        List<String> command =
                 List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        ProxyProcess.javaCommand(),
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
                         "-Xmx88m",
@@ -68,7 +70,9 @@
                         "-cp",
                         System.getProperty("java.class.path"),
                         "lemondrift.Main",
-                        "serve"),
+                        "serve");
+        return new ProcessLauncher(
+                ProxyProcess.asDeployed(command),
                 Path.of("."),
                 Map.of("PROXY_PEERS", peers.toString(), "PROXY_RECOVERY", recovery.toString()));
     }
--- a/src/test/java/lemondrift/proxy/ProxyProcess.java
+++ b/src/test/java/lemondrift/proxy/ProxyProcess.java
@@ -3,11 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -29,13 +33,49 @@
 
     /** A process of the proxy, its log on its output. */
     public static Process start(Path configFile) throws IOException {
-        ProcessBuilder command =
-                new ProcessBuilder(
-                        javaCommand(),
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "lemondrift.Main",
-                        "serve");
+        return start(configFile, serveCommand());
+    }
+
+    /** The same, started by the shell as the deploy file says. */
+    public static Process startAsDeployed(Path configFile) throws IOException {
+        return start(configFile, asDeployed(serveCommand()));
+    }
+
+    private static List<String> serveCommand() {
+        return List.of(
+                javaCommand(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "lemondrift.Main",
+                "serve");
+    }
+
+    /**
+     * A java command as {@code run} of the deploy file starts one: by the shell, which does what
+     * that says before, and with the folder of the native library.
+     */
+    public static List<String> asDeployed(List<String> javaCommand) throws IOException {
+        String deployed =
+                new TomlMapper()
+                        .readTree(Files.readString(Path.of("deploy/balancer.toml")))
+                        .path("run")
+                        .asText();
+        String before = deployed.substring(0, deployed.indexOf("PROXY_PEERS="));
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                "/bin/sh",
+                                "-c",
+                                before + "exec \"$@\"",
+                                "sh",
+                                javaCommand.get(0),
+                                "-Djava.library.path=target/native"));
+        command.addAll(javaCommand.subList(1, javaCommand.size()));
+        return command;
+    }
+
+    private static Process start(Path configFile, List<String> arguments) throws IOException {
+        ProcessBuilder command = new ProcessBuilder(arguments);
         command.environment().put("PROXY_CONFIG", configFile.toString());
         return command.redirectErrorStream(true).start();
     }
