An attempt whose sending throws ends for the balancer too; its request is not failed

Callers would see: 502 for a request of which nothing had been sent, and from then on a proxy that holds one backend busier than it is, until its next start; what else the decision asked for was dropped. Found by reading, made to come by a test; not seen in service.

Cause: a decision was carried out as one step. Where actions.send threw, eventFailed failed the request and told the balancer nothing, so that the attempt stayed in flight, with its reference and what gossip tells. Evidence: in the test the attempt has not ended after its request's reply.

Mend: each send and each probe is a step of its own; what was not sent is reported as NOT_SENT after the event. An exception in the balancer ends the request through the balancer, which cancels what is out and says 503 or 502 by what may have run.

DecisionLoopTest.rejectsOnlyTheRequestWhoseAttemptThrowsAndEndsTheAttempt replaces failsOnlyTheRequestWhoseAttemptThrows, which asked for 502 though nothing had been sent, and checks more: the attempt has ended, nothing is open, no backend is held.

--- a/src/main/java/lemondrift/proxy/loop/DecisionExecutor.java
+++ b/src/main/java/lemondrift/proxy/loop/DecisionExecutor.java
@@ -1,8 +1,11 @@
 package lemondrift.proxy.loop;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Queue;
 import lemondrift.balancer.LoadBalancer;
 import lemondrift.model.Attempt;
 import lemondrift.model.AttemptOutcome;
@@ -38,6 +41,13 @@
     private final PeerExchange peers;
     private final ShadowRunner shadow;
     private final Map<Request, PendingRequest> openRequests = new HashMap<>();
+
+    /** Not sent because of an error, the earliest first. */
+    private final Queue<Attempt> unsentAttempts = new ArrayDeque<>();
+
+    /** The backends of probes that were not sent because of an error. */
+    private final Queue<Integer> unsentProbes = new ArrayDeque<>();
+
     private double wakeAt = Double.POSITIVE_INFINITY;
 
     DecisionExecutor(
@@ -91,10 +101,7 @@
             }
             release(reply.request());
         }
-        for (int backend : decision.probes) {
-            directory.retain(backend);
-            actions.probe(backend, directory.address(backend));
-        }
+        decision.probes.forEach(this::probe);
         decision.endpointListCalls.forEach(actions::requestEndpointList);
         decision.logMessages.forEach(LOG::info);
         // A backend that becomes usable or unusable without a list comes with a log message.
@@ -104,11 +111,40 @@
         wakeAt = decision.wakeAt;
     }
 
+    /** Guards against a failed send that keeps the rest of the decision from being carried out. */
     private void send(Attempt attempt) {
         directory.retain(attempt.backend);
         peers.attemptSent(attempt.backend);
-        actions.send(
-                attempt, openRequests.get(attempt.request), directory.address(attempt.backend));
+        try {
+            actions.send(
+                    attempt, openRequests.get(attempt.request), directory.address(attempt.backend));
+        } catch (RuntimeException e) {
+            // Wide, as whatever it is, the attempt has not been sent.
+            LOG.error("attempt at backend {} not handed to the I/O thread", attempt.backend, e);
+            unsentAttempts.add(attempt);
+        }
+    }
+
+    /** Guards as {@link #send} does, and against a backend that waits for its report for good. */
+    private void probe(int backend) {
+        directory.retain(backend);
+        try {
+            actions.probe(backend, directory.address(backend));
+        } catch (RuntimeException e) {
+            // Wide, as whatever it is, the probe has not been sent.
+            LOG.error("probe of backend {} not handed to the I/O thread", backend, e);
+            unsentProbes.add(backend);
+        }
+    }
+
+    /** Takes out an attempt that was not sent, and of which the balancer has not heard; or null. */
+    Attempt pollUnsentAttempt() {
+        return unsentAttempts.poll();
+    }
+
+    /** Takes out a backend whose probe was not sent, and of which the balancer has not heard. */
+    OptionalInt pollUnsentProbe() {
+        return unsentProbes.isEmpty() ? OptionalInt.empty() : OptionalInt.of(unsentProbes.remove());
     }
 
     /**
@@ -131,8 +167,8 @@
 
     /**
      * What happens when a decision, or carrying it out, throws: the error is logged with its event
-     * and request, the request fails at once (502) unless it is completed, the shadow forgets it,
-     * and the balancer is woken within a second.
+     * and request, the request ends at once unless it is completed, the balancer and the shadow
+     * forget it, and the balancer is woken within a second.
      */
     void eventFailed(Event event, Throwable cause) {
         Request request = event.request();
@@ -142,12 +178,23 @@
             LOG.error("decision event {} of request {} failed", event.type(), request.id, cause);
         }
         if (request != null && !request.completed) {
+            endAfterError(request);
+            shadow.requestAbandoned(request);
+        }
+        wakeAt = Math.min(wakeAt, clock.now() + WAKE_AFTER_FAILURE_SECONDS);
+    }
+
+    /** Ends a request as the balancer says, or as failed where the balancer throws again. */
+    private void endAfterError(Request request) {
+        try {
+            execute(balancer.endRequest(clock.now(), request, FailureReason.INTERNAL_ERROR));
+        } catch (RuntimeException | Error e) {
+            // Wide, as a request has to be answered whatever state an error has left.
+            LOG.error("request {} not ended by the balancer", request.id, e);
             request.failureReason = FailureReason.INTERNAL_ERROR;
             request.completed = true;
             fail(request);
-            shadow.requestAbandoned(request);
         }
-        wakeAt = Math.min(wakeAt, clock.now() + WAKE_AFTER_FAILURE_SECONDS);
     }
 
     /** Ends all open requests at the end of the process. */
--- a/src/main/java/lemondrift/proxy/loop/EventHandler.java
+++ b/src/main/java/lemondrift/proxy/loop/EventHandler.java
@@ -1,5 +1,6 @@
 package lemondrift.proxy.loop;
 
+import java.util.OptionalInt;
 import lemondrift.balancer.LoadBalancer;
 import lemondrift.model.Attempt;
 import lemondrift.model.AttemptOutcome;
@@ -75,6 +76,24 @@
                         loadReport));
     }
 
+    /**
+     * Ends what an error kept from being sent. Guards against attempts that stay in flight for good
+     * and backends that look busy for as long.
+     */
+    void endUnsent() {
+        for (Attempt attempt = executor.pollUnsentAttempt();
+                attempt != null;
+                attempt = executor.pollUnsentAttempt()) {
+            attemptEnded(attempt, AttemptOutcome.NOT_SENT, 0, null, null);
+            executor.release(attempt.request);
+        }
+        for (OptionalInt backend = executor.pollUnsentProbe();
+                backend.isPresent();
+                backend = executor.pollUnsentProbe()) {
+            probeEnded(backend.getAsInt(), AttemptOutcome.NOT_SENT, null);
+        }
+    }
+
     void probeEnded(int backend, AttemptOutcome outcome, double[] loadReport) {
         directory.release(backend);
         shadow.probeEnded(backend, outcome, loadReport);
--- a/src/main/java/lemondrift/proxy/loop/EventLoop.java
+++ b/src/main/java/lemondrift/proxy/loop/EventLoop.java
@@ -173,6 +173,7 @@
         loopMetrics.eventHandled(event.type().metricsKind, iterationStartedAt - event.dueAt());
         try {
             event.action().run();
+            eventHandler.endUnsent();
         } catch (RuntimeException | Error e) {
             // Wide, as no error about one request may end the thread that decides for all.
             executor.eventFailed(event, e);
--- a/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
+++ b/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -130,16 +131,36 @@
         decisionLoop.stop();
     }
 
+    /**
+     * Guards against an attempt whose send throws and that stays in flight for good, and against
+     * 502 for a request of which nothing was sent.
+     */
     @Test
-    void failsOnlyTheRequestWhoseAttemptThrows() throws Exception {
+    void rejectsOnlyTheRequestWhoseAttemptThrowsAndEndsTheAttempt() throws Exception {
         decisionLoop.start();
         receiveList("active");
         sendFails = true;
         receiveRequest(1);
-        assertEquals("failed 1", nextAction());
+        assertEquals("rejected 1", nextAction());
         sendFails = false;
+        Attempt unsent = nextAttempt();
+        assertEquals(0, openRequestsAndReferences());
+        assertTrue(unsent.ended, "the balancer has heard of its end");
+        assertEquals(0, unsent.request.attemptsInFlight);
         decisionLoop.attemptEnded(attemptFor(2), AttemptOutcome.SUCCESS, 0.1, null, OK_RESPONSE);
         assertEquals("delivered 2", nextAction());
+        assertEquals(0, openRequestsAndReferences());
+    }
+
+    /** How many requests are open, and how many attempts and probes hold a backend. */
+    private int openRequestsAndReferences() throws Exception {
+        CompletableFuture<Integer> count = new CompletableFuture<>();
+        decisionLoop.runOnLoop(
+                () ->
+                        count.complete(
+                                decisionLoop.openRequestCount()
+                                        + decisionLoop.backendReferenceCount()));
+        return count.get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
     @Test
@@ -254,10 +275,10 @@
 
     @Override
     public void send(Attempt attempt, PendingRequest pending, InetSocketAddress address) {
+        sentAttempts.add(attempt);
         if (sendFails) {
             throw new IllegalStateException("thrown by the test");
         }
-        sentAttempts.add(attempt);
     }
 
     @Override
