A "not served" line comes once, with the figures of its own request

Who is on call saw: a second line for a request that the client's side had already ended, with the reason, attempts and ages of the next request on the same connection. Cause: ResponseWriter logged before it asked whether a reply can still be given, and took the request from the connection. Evidence: trace=a rejected=null attempts=1 age_ms=6, where b had been sent 6 ms ago and a never. Mend: reject and fail are given the pending request, and do nothing where it has been answered.

--- a/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
+++ b/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
@@ -49,7 +49,8 @@
         return isUnanswered(pending);
     }
 
-    private static boolean isUnanswered(PendingRequest pending) {
+    /** Whether the request is open on its connection, and no response to it has begun. */
+    static boolean isUnanswered(PendingRequest pending) {
         HttpServerExchange exchange = pending.exchange();
         return ClientConnection.of(exchange).request == pending.request()
                 && !exchange.isResponseStarted();
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -282,11 +282,11 @@
      * @param retryAfterSeconds 0 to send no Retry-After
      */
     public void reject(PendingRequest pending, double retryAfterSeconds) {
-        responses.reject(pending.exchange(), retryAfterSeconds);
+        responses.reject(pending, retryAfterSeconds);
     }
 
     /** Ends a request that no backend serves with 502, which promises nothing about a retry. */
     public void fail(PendingRequest pending) {
-        responses.fail(pending.exchange());
+        responses.fail(pending);
     }
 }
--- a/src/main/java/lemondrift/proxy/client/RequestAdmission.java
+++ b/src/main/java/lemondrift/proxy/client/RequestAdmission.java
@@ -69,7 +69,7 @@
                         : Optional.empty();
         if (shed.isPresent()) {
             request.failureReason = FailureReason.WAIT_TOO_LONG;
-            responses.reject(pending.exchange(), shed.get().retryAfterSeconds());
+            responses.reject(pending, shed.get().retryAfterSeconds());
         } else {
             requestQueue.holdBack(pending, decideBy);
         }
@@ -97,9 +97,9 @@
         request.failureReason = FailureReason.OVERDUE;
         metrics.overdueRequestEnded();
         if (isClientRetryHarmless(pending)) {
-            responses.reject(pending.exchange(), NO_RETRY_AFTER);
+            responses.reject(pending, NO_RETRY_AFTER);
         } else {
-            responses.fail(pending.exchange());
+            responses.fail(pending);
         }
         decisionEvents.requestAbandoned(request);
     }
--- a/src/main/java/lemondrift/proxy/client/ResponseWriter.java
+++ b/src/main/java/lemondrift/proxy/client/ResponseWriter.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lemondrift.metrics.ProxyMetrics;
-import lemondrift.model.Request;
 import lemondrift.proxy.events.BackendResponse;
 import lemondrift.proxy.events.PendingRequest;
 import lemondrift.proxy.http.BodyChunks;
@@ -153,32 +152,36 @@
      *
      * @param retryAfterSeconds 0 to send no Retry-After
      */
-    void reject(HttpServerExchange exchange, double retryAfterSeconds) {
-        logNotServed(exchange, true);
+    void reject(PendingRequest pending, double retryAfterSeconds) {
+        if (!ClientCloseWatch.isUnanswered(pending)) {
+            return;
+        }
+        logNotServed(pending, true);
         if (retryAfterSeconds > NO_RETRY_AFTER) {
             double wholeMillis = Math.ceil(retryAfterSeconds * 1000);
-            exchange.getResponseHeaders()
+            pending.exchange()
+                    .getResponseHeaders()
                     .put(Headers.RETRY_AFTER, String.valueOf(wholeMillis / 1000));
         }
-        writeNotServed(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+        writeNotServed(pending.exchange(), StatusCodes.SERVICE_UNAVAILABLE);
     }
 
     /** Ends a request that no backend serves with 502, which promises nothing about a retry. */
-    void fail(HttpServerExchange exchange) {
-        logNotServed(exchange, false);
-        writeNotServed(exchange, StatusCodes.BAD_GATEWAY);
+    void fail(PendingRequest pending) {
+        if (!ClientCloseWatch.isUnanswered(pending)) {
+            return;
+        }
+        logNotServed(pending, false);
+        writeNotServed(pending.exchange(), StatusCodes.BAD_GATEWAY);
     }
 
-    private void logNotServed(HttpServerExchange exchange, boolean rejected) {
-        Request request = ClientConnection.of(exchange).request;
-        if (request != null) {
-            failureLog.notServed(
-                    request,
-                    RequestValidator.requestIdOf(exchange),
-                    RequestValidator.requestClassOf(exchange),
-                    rejected,
-                    clock.now());
-        }
+    private void logNotServed(PendingRequest pending, boolean rejected) {
+        failureLog.notServed(
+                pending.request(),
+                RequestValidator.requestIdOf(pending.exchange()),
+                RequestValidator.requestClassOf(pending.exchange()),
+                rejected,
+                clock.now());
     }
 
     private void writeNotServed(HttpServerExchange exchange, int status) {
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -26,12 +26,15 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -466,6 +469,41 @@
         }
     }
 
+    /** Guards against a log line that tells of the next request on the connection. */
+    @Test
+    void logsWhyARequestIsNotServedOnceAndWithItsOwnFigures() throws Exception {
+        timeoutMillis = 500;
+        latencyObjectiveMillis = 400;
+        start(backend(SILENCE));
+        CountDownLatch mayDecide = blockDecisionLoop();
+        PrintStream standardError = System.err;
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        try (Socket client = client()) {
+            System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+            writeText(client, getRequest("a", 300));
+            assertResponseStartsWith("HTTP/1.1 503", client);
+            writeText(client, getRequest("b", 300));
+            awaitRequestsOnIoThread(1);
+            mayDecide.countDown();
+            assertResponseStartsWith("HTTP/1.1 503", client);
+            awaitNothingInFlight();
+        } finally {
+            System.setErr(standardError);
+        }
+        List<String> notServed =
+                log.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .filter(line -> line.contains("not served"))
+                        .toList();
+        assertEquals(2, notServed.size(), notServed.toString());
+        assertTrue(
+                notServed.get(0).contains("trace=a class=look rejected=OVERDUE attempts=0"),
+                notServed.toString());
+        assertTrue(
+                notServed.get(1).matches(".*trace=b class=look rejected=[A-Z_]+ attempts=1.*"),
+                notServed.toString());
+    }
+
     /** Guards against 503, "a retry is harmless", for what a backend may have executed. */
     @ParameterizedTest
     @CsvSource({IDEMPOTENT_CLASS + ",503", NOT_IDEMPOTENT_CLASS + ",502"})
