A client that sends its first byte late is closed within 3 s of its accept

Cause: the time to the first byte (0.8 of quiet) and that of the head from it on (1.1) add up. Mend: a connection's first head also ends 1.25 of quiet (2.75 s) after its accept; bytes at the least rate move that on as ever. Whoever begins at once keeps the time of before. ConnectionPolicyTest.aClientWhoseFirstByteComesLateIsClosedWithinThreeSeconds failed before (first byte at 1.0 s); the model of the property tests states the rule.

--- a/src/main/java/lemondrift/connection/ConnectionDeadlines.java
+++ b/src/main/java/lemondrift/connection/ConnectionDeadlines.java
@@ -8,7 +8,8 @@
  * <table>
  * <caption>What ends a connection in each state</caption>
  * <tr><td>NEW</td><td>first byte timeout: NO_REQUEST</td></tr>
- * <tr><td>READING_HEAD, READING_BODY</td><td>read timeout: SLOW_REQUEST</td></tr>
+ * <tr><td>READING_HEAD, READING_BODY</td><td>read timeout: SLOW_REQUEST; the first head of a
+ * connection also first head timeout, from its accept</td></tr>
  * <tr><td>SENDING_RESPONSE</td><td>write timeout: SLOW_READER</td></tr>
  * <tr><td>IDLE</td><td>longest idle time: IDLE_TIMEOUT; learned limit: REUSE_UNLIKELY</td></tr>
  * <tr><td>NEW, IDLE</td><td>its time in a drain: DRAINING</td></tr>
@@ -35,6 +36,14 @@
         connections.deadlines[connection] = now + limits.firstByteTimeoutSeconds();
     }
 
+    /** Guards against a client that sends one byte late and so holds its place twice as long. */
+    void awaitFirstHead(int connection, double now) {
+        connections.deadlines[connection] =
+                Math.min(
+                        now + limits.readTimeoutSeconds(),
+                        connections.acceptedAt[connection] + limits.firstHeadTimeoutSeconds());
+    }
+
     void awaitRequestBytes(int connection, double now) {
         connections.deadlines[connection] = now + limits.readTimeoutSeconds();
     }
--- a/src/main/java/lemondrift/connection/ConnectionLimits.java
+++ b/src/main/java/lemondrift/connection/ConnectionLimits.java
@@ -65,6 +65,15 @@
         return 0.8 * maxIdleSeconds;
     }
 
+    /**
+     * How long after its accept a connection's first head may end, where its bytes come no faster
+     * than the least rate. With a sweep's interval under the 3 s within which a client without a
+     * request is to be closed, at the default idle time.
+     */
+    double firstHeadTimeoutSeconds() {
+        return 1.25 * maxIdleSeconds;
+    }
+
     /**
      * How long a head may take and a body may pause, and how far progress moves the deadline ahead
      * at the most. Guards against cutting off slow clients midway.
--- a/src/main/java/lemondrift/connection/ConnectionPolicy.java
+++ b/src/main/java/lemondrift/connection/ConnectionPolicy.java
@@ -116,10 +116,12 @@
         double time = pauseClock.runningTime(now);
         ConnectionState state = connections.state(connection);
         if (state == ConnectionState.NEW) {
-            headStarted(connection, time);
+            deadlines.awaitFirstHead(connection, time);
+            connections.enter(connection, ConnectionState.READING_HEAD, time);
         } else if (state == ConnectionState.IDLE) {
             keepAlive.reused(connection, time);
-            headStarted(connection, time);
+            deadlines.awaitRequestBytes(connection, time);
+            connections.enter(connection, ConnectionState.READING_HEAD, time);
         } else if (state == ConnectionState.READING_HEAD || state == ConnectionState.READING_BODY) {
             deadlines.requestProgress(connection, bytes, time);
         } else {
@@ -127,11 +129,6 @@
         }
     }
 
-    private void headStarted(int connection, double time) {
-        deadlines.awaitRequestBytes(connection, time);
-        connections.enter(connection, ConnectionState.READING_HEAD, time);
-    }
-
     /**
      * The head of a request was read; it may have come in one piece with the end of the request
      * before.
--- a/src/test/java/lemondrift/connection/ConnectionPolicyModel.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyModel.java
@@ -157,6 +157,9 @@
      */
     double deadline(Client client) {
         double deadline = client.enteredStateAt + limits.readTimeoutSeconds();
+        if (!client.wasAnswered) {
+            deadline = Math.min(deadline, client.acceptedAt + limits.firstHeadTimeoutSeconds());
+        }
         double startedAt = client.enteredStateAt;
         for (int k = 0; k < client.byteTimes.size(); k++) {
             if (client.byteTimes.get(k) > startedAt) {
--- a/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
@@ -217,6 +217,21 @@
         assertEquals(ConnectionState.READING_HEAD, model.policy.state(withoutByte));
     }
 
+    /** Guards against a client that sends one byte late and holds its place without a request. */
+    @Test
+    void aClientWhoseFirstByteComesLateIsClosedWithinThreeSeconds() {
+        for (double firstByteAt : new double[] {0, 0.5, 1, 1.7}) {
+            ConnectionPolicyModel model = ConnectionPolicyModel.of(20);
+            int connection = model.accept();
+            double acceptedAt = model.now;
+            model.advance(firstByteAt);
+            model.sendBytes(connection, 1);
+            model.advance(acceptedAt + 3 - model.now);
+            assertFalse(model.clients.containsKey(connection), "first byte at " + firstByteAt);
+            assertEquals(1, model.closedCount(CloseReason.SLOW_REQUEST));
+        }
+    }
+
     @Test
     void aByteEach90MillisecondsIsNoProgress() {
         ConnectionPolicyModel model = ConnectionPolicyModel.of(20);
