Soak: signals in series, interrupted starts, kill counted from SIGTERM, every end looked at

The soak had single SIGHUPs only, spread over a second or more, and counted the platform's kill from when SIGTERM was queued. Exit codes of processes that were started again since count too; only the last one's did. Fault.Kind says by a field which kinds fall on processes, not by the order of the kinds.

--- a/src/main/java/lemondrift/cli/SoakCommand.java
+++ b/src/main/java/lemondrift/cli/SoakCommand.java
@@ -46,6 +46,13 @@
             description = "days that are played side by side (${DEFAULT-VALUE})")
     int atOnce;
 
+    @Option(
+            names = "--without-signals",
+            description =
+                    "leave out the signals in series and the interrupted starts, which come beside"
+                            + " the rest of a seed's day")
+    boolean withoutSignals;
+
     @Option(
             names = "--root",
             paramLabel = "FOLDER",
@@ -59,7 +66,7 @@
         ExecutorService executor = Executors.newFixedThreadPool(atOnce);
         List<Future<SoakRun.Verdict>> verdicts = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-            SoakRun.Plan plan = SoakRun.plan(seed);
+            SoakRun.Plan plan = withoutSignals ? SoakRun.plan(seed) : SoakRun.planWithSignals(seed);
             verdicts.add(executor.submit(() -> SoakRun.play(plan, launcher, line -> {})));
         }
         executor.shutdown();
--- a/src/main/java/lemondrift/lab/fleet/ProcessFaultInjector.java
+++ b/src/main/java/lemondrift/lab/fleet/ProcessFaultInjector.java
@@ -1,5 +1,7 @@
 package lemondrift.lab.fleet;
 
+import java.util.List;
+
 /** Lets the faults of processes fall on the proxies. I/O thread only. */
 final class ProcessFaultInjector {
     /** In how many steps a rolling restart of the fleet is done. */
@@ -8,6 +10,18 @@
     /** How many reloads one fault makes, evenly over its duration. */
     private static final int RELOADS = 4;
 
+    /** Signals within milliseconds. */
+    private static final List<String> RELOAD_SERIES = List.of("HUP", "HUP", "HUP");
+
+    /**
+     * Signals within milliseconds: reloads just before and just after the end, which comes twice.
+     */
+    private static final List<String> TERMINATION_SERIES =
+            List.of("HUP", "HUP", "TERM", "HUP", "HUP", "TERM", "HUP");
+
+    /** When signals come during a start: before the JVM runs, as it begins, in the warm-up. */
+    private static final double[] START_DELAYS_SECONDS = {0.015, 0.06, 0.12, 0.25};
+
     private final RealTimeScheduler scheduler;
     private final ProxyLifecycle lifecycle;
 
@@ -27,6 +41,8 @@
             case ROLL -> roll(proxies, durationSeconds);
             case TERMINATE -> terminate(proxies, durationSeconds, clients);
             case HANG_UP -> reload(proxies, durationSeconds);
+            case SIGNAL_SERIES -> signalSeries(proxies, durationSeconds, clients);
+            case INTERRUPTED_START -> interruptStart(proxies, durationSeconds);
             default ->
                     throw new IllegalStateException(drawn.fault().kind() + " falls on no process");
         }
@@ -68,11 +84,49 @@
 
     private void terminate(int[] proxies, double durationSeconds, ClientFleet clients) {
         for (int proxy : proxies) {
-            lifecycle.terminate(proxy, clients);
+            lifecycle.terminate(proxy, clients, List.of("TERM"));
             scheduler.after(durationSeconds, () -> lifecycle.restart(proxy));
         }
     }
 
+    private void signalSeries(int[] proxies, double durationSeconds, ClientFleet clients) {
+        for (int proxy : proxies) {
+            lifecycle.terminate(proxy, clients, TERMINATION_SERIES);
+            scheduler.after(
+                    durationSeconds,
+                    () ->
+                            lifecycle.restart(
+                                    proxy, () -> hangUpDuringStart(proxy, START_DELAYS_SECONDS)));
+        }
+    }
+
+    /** Delays count from the moment at which the process was started. */
+    private void hangUpDuringStart(int proxy, double[] delaysSeconds) {
+        for (double delaySeconds : delaysSeconds) {
+            scheduler.after(delaySeconds, () -> lifecycle.signal(proxy, RELOAD_SERIES));
+        }
+    }
+
+    private void interruptStart(int[] proxies, double durationSeconds) {
+        for (int i = 0; i < proxies.length; i++) {
+            int proxy = proxies[i];
+            double delaySeconds = START_DELAYS_SECONDS[i % START_DELAYS_SECONDS.length];
+            lifecycle.kill(proxy);
+            scheduler.after(
+                    durationSeconds,
+                    () -> lifecycle.restart(proxy, () -> stopDuringStart(proxy, delaySeconds)));
+        }
+    }
+
+    private void stopDuringStart(int proxy, double delaySeconds) {
+        scheduler.after(
+                delaySeconds,
+                () -> {
+                    lifecycle.stopDuringStart(proxy);
+                    lifecycle.restart(proxy);
+                });
+    }
+
     private void reload(int[] proxies, double durationSeconds) {
         for (int i = 0; i < RELOADS; i++) {
             scheduler.after(durationSeconds * i / RELOADS, () -> reload(proxies));
--- a/src/main/java/lemondrift/lab/fleet/ProxyLifecycle.java
+++ b/src/main/java/lemondrift/lab/fleet/ProxyLifecycle.java
@@ -1,6 +1,7 @@
 package lemondrift.lab.fleet;
 
 import java.util.Arrays;
+import java.util.List;
 import lemondrift.model.RequestClass;
 
 /**
@@ -51,6 +52,10 @@
 
     /** Starts a proxy, which gets clients once it is healthy. */
     void start(int proxy) {
+        start(proxy, () -> {});
+    }
+
+    private void start(int proxy, Runnable whenStarted) {
         ProxyEndpoints endpoints =
                 new ProxyEndpoints(
                         addresses.listen().get(proxy),
@@ -63,7 +68,12 @@
         processThread.execute(
                 () -> {
                     processes.start(proxy, endpoints);
-                    context.scheduler().execute(() -> openWhenHealthy(proxy));
+                    context.scheduler()
+                            .execute(
+                                    () -> {
+                                        whenStarted.run();
+                                        openWhenHealthy(proxy);
+                                    });
                 });
     }
 
@@ -89,17 +99,41 @@
         }
     }
 
+    /** Stops a proxy with SIGTERM before it serves; it need not end with 0. */
+    void stopDuringStart(int proxy) {
+        if (!down[proxy]) {
+            down[proxy] = true;
+            distributor.close(proxy);
+            processThread.execute(() -> processes.stopDuringStart(proxy));
+        }
+    }
+
     /**
-     * Stops a proxy with SIGTERM while clients go on using the connections that they have, and
-     * kills it as early as a platform may. What that leaves unanswered is not excused.
+     * Stops a proxy while clients go on using the connections that they have, and kills it as early
+     * as a platform may. What that leaves unanswered is not excused.
+     *
+     * @param signals sent at once and in this order; the platform's time counts from then on
      */
-    void terminate(int proxy, ClientFleet clients) {
+    void terminate(int proxy, ClientFleet clients, List<String> signals) {
         if (down[proxy]) {
             return;
         }
         down[proxy] = true;
-        processThread.execute(() -> processes.stop(proxy));
-        double killAt = context.scheduler().now() + longestTimeoutSeconds() + KILL_DELAY_SECONDS;
+        int startCount = startCounts[proxy];
+        processThread.execute(
+                () -> {
+                    processes.resume(proxy);
+                    processes.signal(proxy, signals);
+                    double killAt =
+                            context.scheduler().now()
+                                    + longestTimeoutSeconds()
+                                    + KILL_DELAY_SECONDS;
+                    context.scheduler()
+                            .execute(() -> terminated(proxy, clients, startCount, killAt));
+                });
+    }
+
+    private void terminated(int proxy, ClientFleet clients, int startCount, double killAt) {
         context.scheduler()
                 .after(
                         CLOSE_DELAY_SECONDS,
@@ -107,7 +141,6 @@
                             distributor.close(proxy);
                             clients.useKeptConnections(proxy, killAt);
                         });
-        int startCount = startCounts[proxy];
         context.scheduler().at(killAt, () -> killUnlessRestarted(proxy, startCount));
     }
 
@@ -129,21 +162,28 @@
 
     /** Starts a proxy that is down, as soon as its former process has ended. */
     void restart(int proxy) {
+        restart(proxy, () -> {});
+    }
+
+    /** The same; the callback runs once the new process has been started. */
+    void restart(int proxy, Runnable whenStarted) {
         if (down[proxy]) {
             processThread.execute(
                     () -> {
                         boolean alive = processes.isAlive(proxy);
-                        context.scheduler().execute(() -> restartUnlessAlive(proxy, alive));
+                        context.scheduler()
+                                .execute(() -> restartUnlessAlive(proxy, alive, whenStarted));
                     });
         }
     }
 
-    private void restartUnlessAlive(int proxy, boolean alive) {
+    private void restartUnlessAlive(int proxy, boolean alive, Runnable whenStarted) {
         if (alive) {
-            context.scheduler().after(END_CHECK_INTERVAL_SECONDS, () -> restart(proxy));
+            context.scheduler()
+                    .after(END_CHECK_INTERVAL_SECONDS, () -> restart(proxy, whenStarted));
         } else if (down[proxy]) {
             distributor.close(proxy);
-            start(proxy);
+            start(proxy, whenStarted);
         }
     }
 
@@ -164,6 +204,11 @@
 
     /** Lets a proxy read its configuration again. Any thread. */
     void reload(int proxy) {
-        processThread.execute(() -> processes.reload(proxy));
+        signal(proxy, List.of("HUP"));
+    }
+
+    /** Sends a proxy signals such as "HUP" at once and in this order. Any thread. */
+    void signal(int proxy, List<String> signals) {
+        processThread.execute(() -> processes.signal(proxy, signals));
     }
 }
--- a/src/main/java/lemondrift/lab/fleet/ProxyProcesses.java
+++ b/src/main/java/lemondrift/lab/fleet/ProxyProcesses.java
@@ -30,6 +30,10 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Sends the process that is named first all signals that are named after it. */
+    private static final String SEND_ALL_SIGNALS =
+            "process=$1; shift; for signal; do kill -$signal $process; done";
+
     private final ProcessLauncher launcher;
     private final Path folder;
     private final ProxyConfigWriter configWriter;
@@ -41,6 +45,12 @@
     /** By proxy. */
     private final boolean[] paused;
 
+    /** By proxy; false where it was killed, or told to end during its start. */
+    private final boolean[] needsToEndWithZero;
+
+    /** A line on each process that did not end as it has to. */
+    private final List<String> problems = new ArrayList<>();
+
     private final Thread shutdownHook = new Thread(this::killAll, "kill-proxies");
 
     /**
@@ -63,6 +73,7 @@
         this.recovers = recovers;
         processes = new Process[proxyCount];
         paused = new boolean[proxyCount];
+        needsToEndWithZero = new boolean[proxyCount];
         checkMemory(proxyCount);
         // Guards against processes left behind by an interrupted run.
         Runtime.getRuntime().addShutdownHook(shutdownHook);
@@ -122,16 +133,24 @@
      */
     void start(int proxy, ProxyEndpoints endpoints) {
         try {
+            checkFormerEnd(proxy);
             Path configFile = folder.resolve(name(proxy) + ".json");
             Files.writeString(configFile, configWriter.write(proxy, endpoints));
             processes[proxy] = processBuilder(proxy, configFile).start();
             paused[proxy] = false;
+            needsToEndWithZero[proxy] = true;
         } catch (IOException e) {
             throw new InvalidSettingsException(
                     "proxy " + proxy + " can't be started: " + e.getMessage());
         }
     }
 
+    private void checkFormerEnd(int proxy) {
+        if (hasEnded(proxy) && needsToEndWithZero[proxy] && processes[proxy].exitValue() != 0) {
+            problems.add("proxy " + proxy + " ended with " + processes[proxy].exitValue());
+        }
+    }
+
     private ProcessBuilder processBuilder(int proxy, Path configFile) {
         ProcessBuilder builder =
                 new ProcessBuilder(launcher.command())
@@ -163,6 +182,7 @@
 
     /** Ends a process with SIGKILL, without a drain. */
     void kill(int proxy) {
+        needsToEndWithZero[proxy] = false;
         process(proxy).ifPresent(Process::destroyForcibly);
     }
 
@@ -172,35 +192,47 @@
         process(proxy).ifPresent(Process::destroy);
     }
 
+    /** Ends a process with SIGTERM before its JVM may have a handler for that. */
+    void stopDuringStart(int proxy) {
+        needsToEndWithZero[proxy] = false;
+        stop(proxy);
+    }
+
     /** Suspends a process with its sockets open, with SIGSTOP. */
     void pause(int proxy) {
         paused[proxy] = true;
-        signal(proxy, "STOP");
+        signal(proxy, List.of("STOP"));
     }
 
     /** Lets a paused process go on, with SIGCONT. */
     void resume(int proxy) {
         if (paused[proxy]) {
             paused[proxy] = false;
-            signal(proxy, "CONT");
+            signal(proxy, List.of("CONT"));
         }
     }
 
-    /** Lets a process read its configuration again, with SIGHUP. */
-    void reload(int proxy) {
-        signal(proxy, "HUP");
-    }
-
-    private void signal(int proxy, String signal) {
+    /** Sends a process signals such as "HUP", within milliseconds and in this order. */
+    void signal(int proxy, List<String> signals) {
         if (!isAlive(proxy)) {
             return;
         }
-        String processId = String.valueOf(processes[proxy].pid());
+        if (signals.equals(List.of("TERM"))) {
+            // At once, as the time until the kill counts from it.
+            processes[proxy].destroy();
+            return;
+        }
+        List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", SEND_ALL_SIGNALS, "sh"));
+        command.add(String.valueOf(processes[proxy].pid()));
+        command.addAll(signals);
         try {
-            new ProcessBuilder("kill", "-" + signal, processId).start().waitFor();
+            new ProcessBuilder(command)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
         } catch (IOException e) {
             throw new InvalidSettingsException(
-                    "proxy " + proxy + " can't be sent " + signal + ": " + e.getMessage());
+                    "proxy " + proxy + " can't be sent " + signals + ": " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -228,7 +260,8 @@
     /**
      * Stops all processes.
      *
-     * @return a line on each that had ended by itself, did not drain in time or did not end with 0
+     * @return a line on each that had ended by itself, did not drain in time or did not end with 0,
+     *     also on those that were started again since
      */
     List<String> stopAll() throws InterruptedException {
         boolean[] crashed = new boolean[processes.length];
@@ -236,13 +269,12 @@
             crashed[proxy] = hasEnded(proxy);
             stop(proxy);
         }
-        List<String> problems = new ArrayList<>();
         for (int proxy = 0; proxy < processes.length; proxy++) {
             if (processes[proxy] != null) {
                 awaitEnd(proxy, crashed[proxy]).ifPresent(problems::add);
             }
         }
-        return problems;
+        return List.copyOf(problems);
     }
 
     private Optional<String> awaitEnd(int proxy, boolean crashed) throws InterruptedException {
--- a/src/main/java/lemondrift/lab/fleet/SoakPlanner.java
+++ b/src/main/java/lemondrift/lab/fleet/SoakPlanner.java
@@ -53,10 +53,19 @@
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     }
 
-    /** Draws the day; once for each planner. */
-    SoakRun.Plan draw() {
+    /**
+     * Draws the day; once for each planner.
+     *
+     * @param withSignals whether signals in series and interrupted starts come in addition
+     */
+    SoakRun.Plan draw(boolean withSignals) {
         int proxies = 3 + random.nextInt(3);
         Scenario scenario = drawScenario(proxies);
+        List<Fault> faults = drawFaults(proxies);
+        boolean hasIdleClients = random.nextDouble() < IDLE_CLIENTS_SHARE;
+        if (withSignals) {
+            faults.addAll(drawSignals(proxies));
+        }
         Experiment experiment =
                 new Experiment(
                         "soak-" + seed,
@@ -70,11 +79,17 @@
                         Experiment.Host.PROCESSES,
                         0,
                         0,
-                        drawFaults(proxies));
-        boolean hasIdleClients = random.nextDouble() < IDLE_CLIENTS_SHARE;
+                        faults);
         return new SoakRun.Plan(seed, experiment, hasIdleClients ? IDLE_CLIENTS_PER_PROXY : 0);
     }
 
+    /** After all that is drawn for a day without them, so that the rest of a seed's day stays. */
+    private List<Fault> drawSignals(int proxies) {
+        return List.of(
+                faultOfProcesses(Fault.Kind.SIGNAL_SERIES, drawProxy(proxies), 0.5, 3),
+                faultOfProcesses(Fault.Kind.INTERRUPTED_START, drawProxy(proxies), 0.1, 1));
+    }
+
     private Scenario drawScenario(int proxies) {
         int backends = BACKEND_COUNTS[random.nextInt(BACKEND_COUNTS.length)];
         double latencyObjective =
--- a/src/main/java/lemondrift/lab/fleet/SoakRun.java
+++ b/src/main/java/lemondrift/lab/fleet/SoakRun.java
@@ -71,7 +71,12 @@
 
     /** Draws the day of a seed. */
     public static Plan plan(long seed) {
-        return new SoakPlanner(seed).draw();
+        return new SoakPlanner(seed).draw(false);
+    }
+
+    /** The same day, and signals in series and interrupted starts beside what is drawn on it. */
+    public static Plan planWithSignals(long seed) {
+        return new SoakPlanner(seed).draw(true);
     }
 
     /**
--- a/src/main/java/lemondrift/lab/simulation/Fault.java
+++ b/src/main/java/lemondrift/lab/simulation/Fault.java
@@ -27,38 +27,54 @@
     /** Kinds of fault. */
     public enum Kind {
         /** Nothing gets through; connections stay open at both ends. */
-        CUT,
+        CUT(false),
         /** A share of the datagrams is lost. */
-        LOSE,
+        LOSE(false),
         /** A share of the messages is delayed. */
-        LATE,
+        LATE(false),
         /** A share of the datagrams is duplicated. */
-        TWICE,
+        TWICE(false),
         /**
          * A share of the datagrams is delayed by times of their own, so that they are reordered.
          */
-        DISORDER,
+        DISORDER(false),
         /** Datagrams that no proxy sent: random bytes, absurd lengths, foreign senders. */
-        JUNK,
+        JUNK(false),
         /** Processes get SIGKILL at one instant and are started again when it is over. */
-        KILL,
+        KILL(true),
         /** Processes get SIGTERM and are started again when it is over. */
-        STOP,
+        STOP(true),
         /** Processes get SIGSTOP, and SIGCONT when it is over. */
-        PAUSE,
+        PAUSE(true),
         /** Processes are restarted over its duration, a tenth of them at a time. */
-        ROLL,
+        ROLL(true),
         /**
          * Processes get SIGTERM while clients go on using the connections that they have, and are
          * killed as early as the platform may do so.
          */
-        TERMINATE,
+        TERMINATE(true),
         /** Processes get SIGHUP, to reload their configuration, several times over its duration. */
-        HANG_UP;
+        HANG_UP(true),
+        /**
+         * As {@link #TERMINATE}, with SIGHUP in series just before and just after SIGTERM, which
+         * comes twice; and SIGHUP in series at several moments of the start that follows.
+         */
+        SIGNAL_SERIES(true),
+        /**
+         * Processes get SIGKILL, are started again when it is over, get SIGTERM during that start,
+         * and are started once more.
+         */
+        INTERRUPTED_START(true);
+
+        private final boolean ofProcesses;
+
+        Kind(boolean ofProcesses) {
+            this.ofProcesses = ofProcesses;
+        }
 
         /** Whether it falls on processes; else on a channel between them. */
         public boolean isOfProcesses() {
-            return compareTo(KILL) >= 0;
+            return ofProcesses;
         }
     }
 
--- a/src/test/java/lemondrift/lab/fleet/SoakRunTest.java
+++ b/src/test/java/lemondrift/lab/fleet/SoakRunTest.java
@@ -25,9 +25,19 @@
         assertAllRulesAreKeptAndAllProcessesEndWithZero(3);
     }
 
+    /** Guards against a process that signals in series end early, late or not with zero. */
+    @Test
+    void allRulesAreKeptWhereSignalsComeInSeriesAndStartsAreInterrupted() throws Exception {
+        assertAllRulesAreKeptAndAllProcessesEndWithZero(SoakRun.planWithSignals(4));
+    }
+
     private static void assertAllRulesAreKeptAndAllProcessesEndWithZero(long seed)
             throws Exception {
-        SoakRun.Plan plan = SoakRun.plan(seed);
+        assertAllRulesAreKeptAndAllProcessesEndWithZero(SoakRun.plan(seed));
+    }
+
+    private static void assertAllRulesAreKeptAndAllProcessesEndWithZero(SoakRun.Plan plan)
+            throws Exception {
         ProcessLauncher launcher =
                 Fleets.launcher(Path.of("deploy/peers.json"), Path.of("deploy/recovery.json"));
         SoakRun.Verdict verdict = SoakRun.play(plan, launcher, line -> {});
@@ -39,6 +49,9 @@
     void aSeedDrawsTheSameDayEveryTime() {
         for (long seed = 0; seed < 50; seed++) {
             assertEquals(SoakRun.plan(seed).about(), SoakRun.plan(seed).about());
+            String withSignals = SoakRun.planWithSignals(seed).about();
+            assertEquals(withSignals, SoakRun.planWithSignals(seed).about());
+            assertTrue(withSignals.startsWith(SoakRun.plan(seed).about()), withSignals);
         }
         assertNotEquals(SoakRun.plan(1).about(), SoakRun.plan(2).about());
         assertTrue(
