Reasons say which limit a request came to, stand in a metric, and refusals have a line

Who is on call saw: NO_BACKEND for a retry that no backend may have, RETRY_BUDGET_SPENT where all attempts had been made, nothing for 400 and 413, and no count by reason. Cause: one reason for two situations; the budget was asked before the attempts, so that it hid them where both were used up; replies are counted by status alone. Mend: NO_BACKEND_FOR_RETRY; attempts first, which changes no decision, as both end the request; GET /admin/not-served has a count for each reason of the log; "refused status= why= trace=". LoadBalancerTest.theReasonSaysWhetherAttemptsOrBackendsOrTheBudgetRanOut fails with the old order.

--- a/src/main/java/lemondrift/balancer/AdmissionControl.java
+++ b/src/main/java/lemondrift/balancer/AdmissionControl.java
@@ -21,8 +21,8 @@
  * the settings' overQuotaWeight. Before a request is rejected, backends outside the subset are
  * tried once.
  *
- * <p>Where no backend may take it the wait is infinite, and the reason NO_BACKEND. The Retry-After
- * of the reply is the wait, at most a window.
+ * <p>Where no backend may take it the wait is infinite, and the reason NO_BACKEND or, for a retry,
+ * NO_BACKEND_FOR_RETRY. The Retry-After of the reply is the wait, at most a window.
  */
 final class AdmissionControl extends DecisionStage {
     /** The share of its time that a request of no priority may wait. */
@@ -82,12 +82,18 @@
         } else {
             replyLocally(
                     request,
-                    placeable ? FailureReason.WAIT_TOO_LONG : FailureReason.NO_BACKEND,
+                    placeable ? FailureReason.WAIT_TOO_LONG : notPlaceable(request),
                     Math.min(wait, backends.windowSeconds),
                     decision);
         }
     }
 
+    private static FailureReason notPlaceable(Request request) {
+        return request.attemptCount == 0
+                ? FailureReason.NO_BACKEND
+                : FailureReason.NO_BACKEND_FOR_RETRY;
+    }
+
     /** From 0 to 1, scaled where the tenant has passed this proxy's part of its quota. */
     private double priority(Request request, double now) {
         Settings settings = backends.settings;
--- a/src/main/java/lemondrift/balancer/RetryPolicy.java
+++ b/src/main/java/lemondrift/balancer/RetryPolicy.java
@@ -17,10 +17,10 @@
  * left, in {@link AdmissionControl}:
  *
  * <ul>
+ *   <li>it has had fewer attempts than its terms allow, or it ends with ATTEMPTS_USED;
  *   <li>the retry budget holds a whole retry, or it ends with RETRY_BUDGET_SPENT. Each first
  *       attempt earns {@link #RETRIES_PER_REQUEST}, up to as many as a request may have attempts,
  *       so that a storm of retries is never of this proxy's making;
- *   <li>it has had fewer attempts than its terms allow, or it ends with ATTEMPTS_USED;
  *   <li>the backend has not had this request before;
  *   <li>no attempt before may have been executed ({@link AttemptOutcome#neverExecuted}); or the
  *       request is idempotent; or it carries an idempotency key, the first attempt that may have
@@ -57,10 +57,10 @@
         if (request.attemptCount == 0) {
             retryBudget = Math.min(terms.maxAttempts(), retryBudget + RETRIES_PER_REQUEST);
             super.offer(request, now, decision);
-        } else if (retryBudget < 1) {
-            replyLocally(request, FailureReason.RETRY_BUDGET_SPENT, 0, decision);
         } else if (request.attemptCount >= terms.maxAttempts()) {
             replyLocally(request, FailureReason.ATTEMPTS_USED, 0, decision);
+        } else if (retryBudget < 1) {
+            replyLocally(request, FailureReason.RETRY_BUDGET_SPENT, 0, decision);
         } else {
             retryBudget--;
             super.offer(request, now, decision);
--- a/src/main/java/lemondrift/metrics/ProxyMetrics.java
+++ b/src/main/java/lemondrift/metrics/ProxyMetrics.java
@@ -1,8 +1,13 @@
 package lemondrift.metrics;
 
+import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Collectors;
+import lemondrift.model.FailureReason;
 
 /**
  * Counts of one process since its start. One thread counts and reads. The requests in flight are
@@ -39,9 +44,10 @@
     /** By name of the request class, and then by ordinal of {@link Reply}. */
     private final Map<String, long[]> replyCounts = new LinkedHashMap<>();
 
+    private final Map<FailureReason, Long> notServedCounts = new EnumMap<>(FailureReason.class);
+
     private long acceptedRequests;
     private long completedRequests;
-    private long overdueRequests;
     private long attemptsSent;
     private long backendsListed;
     private long backendsDisabled;
@@ -68,13 +74,22 @@
         completedRequests++;
     }
 
-    /** A request was failed on the client's side, as it was not decided by its deadline. */
-    public void overdueRequestEnded() {
-        overdueRequests++;
+    /** A request was rejected or failed for this reason; null counts as an internal error. */
+    public void requestNotServed(FailureReason reason) {
+        notServedCounts.merge(
+                Objects.requireNonNullElse(reason, FailureReason.INTERNAL_ERROR), 1L, Long::sum);
+    }
+
+    /** How many requests were rejected or failed for this reason. */
+    public long notServedCount(FailureReason reason) {
+        return notServedCounts.getOrDefault(reason, 0L);
     }
 
-    public long overdueRequestCount() {
-        return overdueRequests;
+    /** How many requests were rejected or failed for each reason, as JSON. */
+    public String notServedJson() {
+        return Arrays.stream(FailureReason.values())
+                .map(reason -> "\"" + reason + "\":" + notServedCount(reason))
+                .collect(Collectors.joining(",", "{", "}"));
     }
 
     /** A reply was sent whole; not counted where the request class is not registered. */
--- a/src/main/java/lemondrift/model/FailureReason.java
+++ b/src/main/java/lemondrift/model/FailureReason.java
@@ -10,8 +10,10 @@
     EXPIRED,
     /** The wait to expect was longer than its priority and its time left allow. */
     WAIT_TOO_LONG,
-    /** No backend may take it. */
+    /** No backend may take it, and none has had it. */
     NO_BACKEND,
+    /** No backend may have this retry: those that may take requests have had it, or may not. */
+    NO_BACKEND_FOR_RETRY,
     /** It has had all attempts that are allowed. */
     ATTEMPTS_USED,
     /** Retries have had their share of the traffic. */
--- a/src/main/java/lemondrift/proxy/OperatorControl.java
+++ b/src/main/java/lemondrift/proxy/OperatorControl.java
@@ -59,6 +59,11 @@
         return decisionLoop.metricsJson();
     }
 
+    @Override
+    public String notServedJson() {
+        return metrics.notServedJson();
+    }
+
     @Override
     public boolean quiesce() {
         if (isReady() && !clientListener.isDraining()) {
--- a/src/main/java/lemondrift/proxy/admin/AdminOperations.java
+++ b/src/main/java/lemondrift/proxy/admin/AdminOperations.java
@@ -16,6 +16,9 @@
     /** How the decision loop keeps up, as JSON. */
     String loopJson();
 
+    /** Why requests were rejected or failed, and how many, as JSON. */
+    String notServedJson();
+
     /** Takes the proxy out of service; false where it cannot be. */
     boolean quiesce();
 
--- a/src/main/java/lemondrift/proxy/admin/AdminServer.java
+++ b/src/main/java/lemondrift/proxy/admin/AdminServer.java
@@ -53,6 +53,7 @@
     private static final String STATS = "/admin/stats";
     private static final String RECOVERY = "/admin/recovery";
     private static final String LOOP = "/admin/loop";
+    private static final String NOT_SERVED = "/admin/not-served";
     private static final String QUIESCE = "/admin/quiesce";
     private static final String RESUME = "/admin/resume";
 
@@ -149,7 +150,7 @@
     /** The method that a call takes; null where there is no such call. */
     private static HttpString methodOf(String path) {
         return switch (path) {
-            case HEALTH, STATS, RECOVERY, LOOP -> Methods.GET;
+            case HEALTH, STATS, RECOVERY, LOOP, NOT_SERVED -> Methods.GET;
             case QUIESCE, RESUME -> Methods.PUT;
             default -> null;
         };
@@ -166,6 +167,8 @@
                                             : operations.metrics()));
             case RECOVERY -> sendJson(call, operations == null ? null : operations.recoveryJson());
             case LOOP -> sendJson(call, operations == null ? null : operations.loopJson());
+            case NOT_SERVED ->
+                    sendJson(call, operations == null ? null : operations.notServedJson());
             case HEALTH -> sendSuccess(call, operations != null && operations.isReady());
             case QUIESCE -> sendSuccess(call, operations != null && operations.quiesce());
             default -> sendSuccess(call, operations != null && operations.resume());
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -84,11 +84,7 @@
         validator = new RequestValidator(config.tenantNames(), connections);
         admission =
                 new RequestAdmission(
-                        config.settings().windowSeconds(),
-                        decisionEvents,
-                        responses,
-                        clock,
-                        metrics);
+                        config.settings().windowSeconds(), decisionEvents, responses, clock);
         settingsChanged(requestClasses, config.settings());
         RequestReader requests =
                 new RequestReader(
--- a/src/main/java/lemondrift/proxy/client/RequestAdmission.java
+++ b/src/main/java/lemondrift/proxy/client/RequestAdmission.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import lemondrift.connection.RequestQueue;
-import lemondrift.metrics.ProxyMetrics;
 import lemondrift.model.FailureReason;
 import lemondrift.model.Request;
 import lemondrift.model.ShedThreshold;
@@ -23,20 +22,17 @@
     private final DecisionEvents decisionEvents;
     private final ResponseWriter responses;
     private final MonotonicClock clock;
-    private final ProxyMetrics metrics;
     private Runnable beforeEachRequest = () -> {};
 
     RequestAdmission(
             double latencyObjectiveSeconds,
             DecisionEvents decisionEvents,
             ResponseWriter responses,
-            MonotonicClock clock,
-            ProxyMetrics metrics) {
+            MonotonicClock clock) {
         requestQueue = new RequestQueue<>(latencyObjectiveSeconds);
         this.decisionEvents = decisionEvents;
         this.responses = responses;
         this.clock = clock;
-        this.metrics = metrics;
     }
 
     /** What is to be done before a request is decided; set before listening. */
@@ -95,7 +91,6 @@
         }
         Request request = pending.request();
         request.failureReason = FailureReason.OVERDUE;
-        metrics.overdueRequestEnded();
         if (isClientRetryHarmless(pending)) {
             responses.reject(pending, NO_RETRY_AFTER);
         } else {
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -75,9 +75,11 @@
         if (isHealthCheck(exchange)) {
             responses.writeHealth(exchange);
         } else if (!RequestValidator.isUnambiguous(exchange)) {
-            responses.refuseAndClose(exchange, StatusCodes.BAD_REQUEST);
+            responses.refuseAndClose(
+                    exchange, StatusCodes.BAD_REQUEST, RefusalReason.AMBIGUOUS_FRAMING);
         } else if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
-            responses.refuseAndClose(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+            responses.refuseAndClose(
+                    exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LONG);
         } else if (exchange.isRequestComplete()) {
             requestRead(exchange, new byte[0]);
         } else {
@@ -137,13 +139,17 @@
 
             @Override
             public void tooLong() {
-                responses.refuseAndClose(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+                responses.refuseAndClose(
+                        exchange,
+                        StatusCodes.REQUEST_ENTITY_TOO_LARGE,
+                        RefusalReason.BODY_TOO_LONG);
             }
 
             @Override
             public void unreadable() {
                 if (connection.request == null) {
-                    responses.refuseAndClose(exchange, StatusCodes.BAD_REQUEST);
+                    responses.refuseAndClose(
+                            exchange, StatusCodes.BAD_REQUEST, RefusalReason.UNREADABLE_BODY);
                 } else {
                     IoUtils.safeClose(ClientConnection.socketOf(exchange));
                 }
@@ -158,7 +164,7 @@
     private void offerWhole(HttpServerExchange exchange, byte[] body) {
         Request request = openRequest(exchange);
         if (request == null) {
-            responses.refuseAndPause(exchange);
+            responses.refuseAndPause(exchange, RefusalReason.BAD_FIELD_OR_OPEN_ID);
             return;
         }
         ClientConnection connection = ClientConnection.of(exchange);
@@ -177,7 +183,8 @@
     private void offerStreamed(HttpServerExchange exchange, RequestBody body) {
         Request bounded = openRequest(exchange);
         if (bounded == null) {
-            responses.refuseAndClose(exchange, StatusCodes.BAD_REQUEST);
+            responses.refuseAndClose(
+                    exchange, StatusCodes.BAD_REQUEST, RefusalReason.BAD_FIELD_OR_OPEN_ID);
             return;
         }
         body.setResponseTimeoutSeconds(
--- a/src/main/java/lemondrift/proxy/client/ResponseWriter.java
+++ b/src/main/java/lemondrift/proxy/client/ResponseWriter.java
@@ -66,8 +66,9 @@
      * against a response without a body, which Undertow would hold back until all of the request
      * has come.
      */
-    void refuseAndClose(HttpServerExchange exchange, int status) {
+    void refuseAndClose(HttpServerExchange exchange, int status, RefusalReason reason) {
         exchange.setPersistent(false);
+        logRefused(exchange, status, reason);
         writeReason(
                 exchange,
                 status,
@@ -81,11 +82,17 @@
     }
 
     /** Refuses with 400 what was read but can't be used, and reads no more for a while. */
-    void refuseAndPause(HttpServerExchange exchange) {
+    void refuseAndPause(HttpServerExchange exchange, RefusalReason reason) {
+        logRefused(exchange, StatusCodes.BAD_REQUEST, reason);
         writeReason(
                 exchange, StatusCodes.BAD_REQUEST, sent -> afterReadPause(sent, sent::endExchange));
     }
 
+    private void logRefused(HttpServerExchange exchange, int status, RefusalReason reason) {
+        failureLog.refused(
+                status, reason.name(), RequestValidator.requestIdOf(exchange), clock.now());
+    }
+
     private void closeAfterPause(HttpServerExchange exchange) {
         afterReadPause(exchange, () -> IoUtils.safeClose(ClientConnection.socketOf(exchange)));
     }
--- a/src/main/java/lemondrift/proxy/logging/FailureLog.java
+++ b/src/main/java/lemondrift/proxy/logging/FailureLog.java
@@ -1,13 +1,14 @@
 package lemondrift.proxy.logging;
 
 import lemondrift.metrics.ProxyMetrics;
+import lemondrift.model.FailureReason;
 import lemondrift.model.Request;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Logs why requests are rejected or failed: a line for each of the first few of a second, and how
- * many more there were. I/O thread only.
+ * Logs and counts why requests are rejected, failed or refused: a line for each of the first few of
+ * a second, and how many more there were. I/O thread only.
  */
 public final class FailureLog {
     private static final Logger LOG = LoggerFactory.getLogger(FailureLog.class);
@@ -36,11 +37,8 @@
      */
     public void notServed(
             Request request, String trace, String requestClass, boolean rejected, double now) {
-        if (now >= secondStartedAt + 1) {
-            endSecond();
-            secondStartedAt = now;
-        }
-        if (++requestsInSecond <= MAX_LINES_PER_SECOND) {
+        metrics.requestNotServed(request.failureReason);
+        if (hasLine(now)) {
             LOG.info(
                     "not served trace="
                             + trace
@@ -57,12 +55,33 @@
         }
     }
 
+    /**
+     * A client's request is refused with a 4xx, as it can't be read or used.
+     *
+     * @param trace the id by which its client knows it; empty where it states none
+     * @param now the instant, in seconds
+     */
+    public void refused(int status, String why, String trace, double now) {
+        if (hasLine(now)) {
+            LOG.info("refused status=" + status + " why=" + why + " trace=" + trace);
+        }
+    }
+
+    /** Counts a line of this second; whether it is to be written. */
+    private boolean hasLine(double now) {
+        if (now >= secondStartedAt + 1) {
+            endSecond();
+            secondStartedAt = now;
+        }
+        return ++requestsInSecond <= MAX_LINES_PER_SECOND;
+    }
+
     private void endSecond() {
         if (requestsInSecond > MAX_LINES_PER_SECOND) {
             LOG.info(
                     "not served, and not logged: {} requests; overdue so far: {}",
                     requestsInSecond - MAX_LINES_PER_SECOND,
-                    metrics.overdueRequestCount());
+                    metrics.notServedCount(FailureReason.OVERDUE));
         }
         requestsInSecond = 0;
     }
--- a/src/test/java/lemondrift/LoadBalancerTest.java
+++ b/src/test/java/lemondrift/LoadBalancerTest.java
@@ -14,6 +14,7 @@
 import lemondrift.model.AttemptOutcome;
 import lemondrift.model.Decision;
 import lemondrift.model.EndpointUpdate;
+import lemondrift.model.FailureReason;
 import lemondrift.model.Request;
 import lemondrift.model.Settings;
 import lemondrift.model.ShedThreshold;
@@ -371,6 +372,33 @@
         assertTrue(attempts >= 40 && attempts < 60, attempts + " attempts for 40 requests");
     }
 
+    /** Guards against a reason that hides which limit or rule a retry came to. */
+    @Test
+    void theReasonSaysWhetherAttemptsOrBackendsOrTheBudgetRanOut() {
+        TestDeployment none = TestDeployment.of(0);
+        none.arrive(IDEMPOTENT);
+        assertEquals(FailureReason.NO_BACKEND, none.lastReason());
+        TestDeployment one = TestDeployment.of(1);
+        one.end(one.arrive(IDEMPOTENT), AttemptOutcome.OVERLOADED);
+        assertEquals(FailureReason.NO_BACKEND_FOR_RETRY, one.lastReason());
+        TestDeployment many = TestDeployment.of(8);
+        many.end(
+                many.end(many.arrive(IDEMPOTENT), AttemptOutcome.OVERLOADED),
+                AttemptOutcome.SUCCESS);
+        assertEquals(
+                FailureReason.ATTEMPTS_USED,
+                reasonWhereAllAttemptsEndOverloaded(many),
+                "though its last retry was the last of the budget too");
+        assertEquals(FailureReason.RETRY_BUDGET_SPENT, reasonWhereAllAttemptsEndOverloaded(many));
+    }
+
+    private static FailureReason reasonWhereAllAttemptsEndOverloaded(TestDeployment proxy) {
+        for (Attempt attempt = proxy.arrive(IDEMPOTENT);
+                attempt != null;
+                attempt = proxy.end(attempt, AttemptOutcome.OVERLOADED)) {}
+        return proxy.lastReason();
+    }
+
     @Test
     void whatCannotBeAnsweredInTimeIsRejectedAtOnceWithARetryAfter() {
         TestDeployment proxy = TestDeployment.of(2);
--- a/src/test/java/lemondrift/TestDeployment.java
+++ b/src/test/java/lemondrift/TestDeployment.java
@@ -14,6 +14,7 @@
 import lemondrift.model.Decision;
 import lemondrift.model.DeduplicationScope;
 import lemondrift.model.EndpointUpdate;
+import lemondrift.model.FailureReason;
 import lemondrift.model.Idempotency;
 import lemondrift.model.Request;
 import lemondrift.model.RequestClass;
@@ -40,6 +41,12 @@
 
     final LoadBalancer balancer;
     final List<Decision.LocalReply> localReplies = new ArrayList<>();
+
+    /** Why the last request that got a local reply was not served. */
+    FailureReason lastReason() {
+        return localReplies.get(localReplies.size() - 1).request().failureReason;
+    }
+
     final List<Attempt> attempts = new ArrayList<>();
     final List<Attempt> cancellations = new ArrayList<>();
     final List<Integer> probes = new ArrayList<>();
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -39,6 +39,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
@@ -469,6 +470,22 @@
         }
     }
 
+    /** The lines with a text that are logged while a task runs. */
+    private static List<String> logged(String text, Callable<Void> task) throws Exception {
+        PrintStream standardError = System.err;
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            task.call();
+        } finally {
+            System.setErr(standardError);
+        }
+        return log.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains(text))
+                .toList();
+    }
+
     /** Guards against a log line that tells of the next request on the connection. */
     @Test
     void logsWhyARequestIsNotServedOnceAndWithItsOwnFigures() throws Exception {
@@ -476,25 +493,21 @@
         latencyObjectiveMillis = 400;
         start(backend(SILENCE));
         CountDownLatch mayDecide = blockDecisionLoop();
-        PrintStream standardError = System.err;
-        ByteArrayOutputStream log = new ByteArrayOutputStream();
-        try (Socket client = client()) {
-            System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-            writeText(client, getRequest("a", 300));
-            assertResponseStartsWith("HTTP/1.1 503", client);
-            writeText(client, getRequest("b", 300));
-            awaitRequestsOnIoThread(1);
-            mayDecide.countDown();
-            assertResponseStartsWith("HTTP/1.1 503", client);
-            awaitNothingInFlight();
-        } finally {
-            System.setErr(standardError);
-        }
         List<String> notServed =
-                log.toString(StandardCharsets.UTF_8)
-                        .lines()
-                        .filter(line -> line.contains("not served"))
-                        .toList();
+                logged(
+                        "not served",
+                        () -> {
+                            try (Socket client = client()) {
+                                writeText(client, getRequest("a", 300));
+                                assertResponseStartsWith("HTTP/1.1 503", client);
+                                writeText(client, getRequest("b", 300));
+                                awaitRequestsOnIoThread(1);
+                                mayDecide.countDown();
+                                assertResponseStartsWith("HTTP/1.1 503", client);
+                                awaitNothingInFlight();
+                            }
+                            return null;
+                        });
         assertEquals(2, notServed.size(), notServed.toString());
         assertTrue(
                 notServed.get(0).contains("trace=a class=look rejected=OVERDUE attempts=0"),
@@ -504,6 +517,35 @@
                 notServed.toString());
     }
 
+    /** Guards against a 4xx that leaves no line in the log. */
+    @Test
+    void logsWhyARequestIsRefused() throws Exception {
+        start(backend(OK));
+        List<String> refused =
+                logged(
+                        "refused",
+                        () -> {
+                            try (Socket client = client()) {
+                                writeText(client, getRequest("a", "nothing-known", 300));
+                                assertResponseStartsWith("HTTP/1.1 400", client);
+                            }
+                            try (Socket client = client()) {
+                                writeText(
+                                        client,
+                                        postHead("b", 300, "Content-Length: " + (41 << 20)));
+                                assertResponseStartsWith("HTTP/1.1 413", client);
+                            }
+                            return null;
+                        });
+        assertEquals(2, refused.size(), refused.toString());
+        assertTrue(
+                refused.get(0).endsWith("refused status=400 why=BAD_FIELD_OR_OPEN_ID trace=a"),
+                refused.toString());
+        assertTrue(
+                refused.get(1).endsWith("refused status=413 why=BODY_TOO_LONG trace=b"),
+                refused.toString());
+    }
+
     /** Guards against 503, "a retry is harmless", for what a backend may have executed. */
     @ParameterizedTest
     @CsvSource({IDEMPOTENT_CLASS + ",503", NOT_IDEMPOTENT_CLASS + ",502"})
--- a/src/test/java/lemondrift/proxy/admin/AdminCompatibilityTest.java
+++ b/src/test/java/lemondrift/proxy/admin/AdminCompatibilityTest.java
@@ -67,6 +67,11 @@
             return loopMetrics.json();
         }
 
+        @Override
+        public String notServedJson() {
+            return new ProxyMetrics().notServedJson();
+        }
+
         @Override
         public boolean quiesce() {
             return true;
--- a/src/test/java/lemondrift/proxy/admin/AdminServerTest.java
+++ b/src/test/java/lemondrift/proxy/admin/AdminServerTest.java
@@ -2,6 +2,7 @@
 
 import static lemondrift.proxy.DiscoveryMessages.endpointList;
 import static lemondrift.proxy.DiscoveryMessages.member;
+import static lemondrift.proxy.HttpMessages.NEVER_EXECUTED;
 import static lemondrift.proxy.HttpMessages.OK;
 import static lemondrift.proxy.HttpMessages.okResponse;
 import static lemondrift.proxy.HttpMessages.readMessage;
@@ -109,6 +110,17 @@
         assertEquals(0, stats().get("targets").getAsInt());
     }
 
+    /** Guards against a fault whose reason is in no metric. */
+    @Test
+    void countsWhyRequestsAreNotServed() throws Exception {
+        startWithAdminServer(backend(NEVER_EXECUTED));
+        assertTrue(call("GET", "/admin/not-served").contains("\"NO_BACKEND_FOR_RETRY\":0"));
+        assertEquals(503, sendIdempotent().statusCode());
+        String response = call("GET", "/admin/not-served");
+        assertTrue(response.contains("\"NO_BACKEND_FOR_RETRY\":1"), response);
+        assertTrue(response.contains("\"NO_BACKEND\":0"), response);
+    }
+
     @Test
     void rejectsUnknownCalls() throws Exception {
         startWithAdminServer(backend(OK));
