--- a/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
+++ b/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
@@ -49,6 +49,9 @@
     /** The index of the class whose requests may be executed twice. */
     private static final int IDEMPOTENT_CLASS = 1;
 
+    /** An index that no class has, so that a decision about its request throws. */
+    private static final int UNKNOWN_CLASS = 99;
+
     private static final Settings SETTINGS =
             new Settings(
                     1,
@@ -152,6 +155,18 @@
         assertEquals(0, openRequestsAndReferences());
     }
 
+    /** Guards against a request that is never answered because a decision about it throws. */
+    @Test
+    void failsTheRequestAboutWhichTheBalancerThrowsAndGoesOn() throws Exception {
+        decisionLoop.start();
+        receiveList("active");
+        receiveRequest(1, UNKNOWN_CLASS);
+        assertEquals("failed 1", nextAction());
+        decisionLoop.attemptEnded(attemptFor(2), AttemptOutcome.SUCCESS, 0.1, null, OK_RESPONSE);
+        assertEquals("delivered 2", nextAction());
+        assertEquals(0, openRequestsAndReferences());
+    }
+
     /** How many requests are open, and how many attempts and probes hold a backend. */
     private int openRequestsAndReferences() throws Exception {
         CompletableFuture<Integer> count = new CompletableFuture<>();
