--- a/src/main/java/lemondrift/proxy/recovery/RecoveryCoordinator.java
+++ b/src/main/java/lemondrift/proxy/recovery/RecoveryCoordinator.java
@@ -41,6 +41,9 @@
     private final double snapshotIntervalSeconds;
     private double nextSnapshotAt;
 
+    /** The mean service time as it was measured last; kept where snapshots are stored. */
+    private volatile ServiceTime lastMeasured = new ServiceTime(0, 0);
+
     /** A value, so that any thread may read it. */
     private volatile RecoveryState state;
 
@@ -102,9 +105,12 @@
         return state.startNumber();
     }
 
-    /** When to advance at the latest, in seconds of the clock; infinite once it is settled. */
+    /**
+     * When to advance at the latest, in seconds of the clock; infinite once it is settled and no
+     * snapshots are stored.
+     */
     public double wakeAt() {
-        return state.wakeAt();
+        return snapshotStore == null ? state.wakeAt() : Math.min(state.wakeAt(), nextSnapshotAt);
     }
 
     /**
@@ -138,8 +144,11 @@
                     state.samples(),
                     state.pollRounds());
         }
-        if (snapshotStore != null && now >= nextSnapshotAt) {
-            storeSnapshot(now, balancer);
+        if (snapshotStore != null) {
+            lastMeasured = balancer.measuredServiceTime();
+            if (now >= nextSnapshotAt) {
+                storeSnapshot(now);
+            }
         }
     }
 
@@ -183,14 +192,17 @@
         peerEstimate = current.orElse(null);
     }
 
-    private void storeSnapshot(double now, LoadBalancer balancer) {
-        ServiceTime measured = balancer.measuredServiceTime();
+    private void storeSnapshot(double now) {
         // Jitter guards against all proxies of a machine writing at once to its one disk.
         nextSnapshotAt = now + snapshotIntervalSeconds * (0.5 + Math.random());
+        writeMeasured();
+    }
+
+    private void writeMeasured() {
         snapshotStore.writeSoon(
                 state.startNumber(),
-                measured.seconds(),
-                (int) Math.min(measured.samples(), Short.MAX_VALUE));
+                lastMeasured.seconds(),
+                (int) Math.min(lastMeasured.samples(), Short.MAX_VALUE));
     }
 
     private static String formatSeconds(double seconds) {
@@ -223,11 +235,14 @@
     @Override
     public void close() {
         if (snapshotStore != null) {
-            boolean measured = state.samples() > 0;
-            snapshotStore.writeSoon(
-                    state.startNumber(),
-                    measured ? state.serviceTimeSeconds() : trusted.serviceTimeSeconds(),
-                    measured ? state.samples() : trustedSamplesWithServiceTime());
+            if (lastMeasured.samples() > 0) {
+                writeMeasured();
+            } else {
+                snapshotStore.writeSoon(
+                        state.startNumber(),
+                        trusted.serviceTimeSeconds(),
+                        trustedSamplesWithServiceTime());
+            }
             snapshotStore.close();
         }
     }
