--- a/src/main/java/lemondrift/lab/fleet/ProxyLifecycle.java
+++ b/src/main/java/lemondrift/lab/fleet/ProxyLifecycle.java
@@ -78,7 +78,12 @@
     }
 
     private void openWhenHealthy(int proxy) {
-        distributor.openWhenHealthy(proxy, () -> context.recorder().endExcuse(proxy));
+        distributor.openWhenHealthy(
+                proxy,
+                () -> {
+                    context.recorder().endExcuse(proxy);
+                    processThread.execute(() -> processes.seenServing(proxy));
+                });
     }
 
     /** Kills a proxy with SIGKILL; what it leaves unanswered is excused. */
@@ -99,12 +104,12 @@
         }
     }
 
-    /** Stops a proxy with SIGTERM before it serves; it need not end with 0. */
+    /** Stops a proxy with SIGTERM before it serves, so that no clients are sent elsewhere later. */
     void stopDuringStart(int proxy) {
         if (!down[proxy]) {
             down[proxy] = true;
             distributor.close(proxy);
-            processThread.execute(() -> processes.stopDuringStart(proxy));
+            processThread.execute(() -> processes.stop(proxy));
         }
     }
 
--- a/src/main/java/lemondrift/lab/fleet/ProxyProcesses.java
+++ b/src/main/java/lemondrift/lab/fleet/ProxyProcesses.java
@@ -30,9 +30,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** Sends the process that is named first all signals that are named after it. */
-    private static final String SEND_ALL_SIGNALS =
-            "process=$1; shift; for signal; do kill -$signal $process; done";
+    /** The exit value of a process that SIGTERM ended by its default. */
+    private static final int ENDED_BY_TERMINATE = 143;
 
     private final ProcessLauncher launcher;
     private final Path folder;
@@ -45,8 +44,11 @@
     /** By proxy. */
     private final boolean[] paused;
 
-    /** By proxy; false where it was killed, or told to end during its start. */
-    private final boolean[] needsToEndWithZero;
+    /** By proxy, whether it was killed since its start. */
+    private final boolean[] killed;
+
+    /** By proxy, whether it has served since its start. */
+    private final boolean[] served;
 
     /** A line on each process that did not end as it has to. */
     private final List<String> problems = new ArrayList<>();
@@ -73,7 +75,8 @@
         this.recovers = recovers;
         processes = new Process[proxyCount];
         paused = new boolean[proxyCount];
-        needsToEndWithZero = new boolean[proxyCount];
+        killed = new boolean[proxyCount];
+        served = new boolean[proxyCount];
         checkMemory(proxyCount);
         // Guards against processes left behind by an interrupted run.
         Runtime.getRuntime().addShutdownHook(shutdownHook);
@@ -138,7 +141,8 @@
             Files.writeString(configFile, configWriter.write(proxy, endpoints));
             processes[proxy] = processBuilder(proxy, configFile).start();
             paused[proxy] = false;
-            needsToEndWithZero[proxy] = true;
+            killed[proxy] = false;
+            served[proxy] = false;
         } catch (IOException e) {
             throw new InvalidSettingsException(
                     "proxy " + proxy + " can't be started: " + e.getMessage());
@@ -146,8 +150,19 @@
     }
 
     private void checkFormerEnd(int proxy) {
-        if (hasEnded(proxy) && needsToEndWithZero[proxy] && processes[proxy].exitValue() != 0) {
-            problems.add("proxy " + proxy + " ended with " + processes[proxy].exitValue());
+        if (!hasEnded(proxy) || killed[proxy] || processes[proxy].exitValue() == 0) {
+            return;
+        }
+        // A JVM that has no handler yet ends by the signal itself, which docs/operating.md allows.
+        boolean endedDuringStart =
+                !served[proxy] && processes[proxy].exitValue() == ENDED_BY_TERMINATE;
+        if (!endedDuringStart) {
+            problems.add(
+                    "proxy "
+                            + proxy
+                            + " ended with "
+                            + processes[proxy].exitValue()
+                            + (served[proxy] ? " after it had served" : " before it served"));
         }
     }
 
@@ -180,9 +195,14 @@
         return process(proxy).map(process -> !process.isAlive()).orElse(false);
     }
 
+    /** A process has been seen to serve. */
+    void seenServing(int proxy) {
+        served[proxy] = true;
+    }
+
     /** Ends a process with SIGKILL, without a drain. */
     void kill(int proxy) {
-        needsToEndWithZero[proxy] = false;
+        killed[proxy] = true;
         process(proxy).ifPresent(Process::destroyForcibly);
     }
 
@@ -192,12 +212,6 @@
         process(proxy).ifPresent(Process::destroy);
     }
 
-    /** Ends a process with SIGTERM before its JVM may have a handler for that. */
-    void stopDuringStart(int proxy) {
-        needsToEndWithZero[proxy] = false;
-        stop(proxy);
-    }
-
     /** Suspends a process with its sockets open, with SIGSTOP. */
     void pause(int proxy) {
         paused[proxy] = true;
@@ -217,19 +231,8 @@
         if (!isAlive(proxy)) {
             return;
         }
-        if (signals.equals(List.of("TERM"))) {
-            // At once, as the time until the kill counts from it.
-            processes[proxy].destroy();
-            return;
-        }
-        List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", SEND_ALL_SIGNALS, "sh"));
-        command.add(String.valueOf(processes[proxy].pid()));
-        command.addAll(signals);
         try {
-            new ProcessBuilder(command)
-                    .redirectError(ProcessBuilder.Redirect.DISCARD)
-                    .start()
-                    .waitFor();
+            ProcessSignals.send(processes[proxy], signals);
         } catch (IOException e) {
             throw new InvalidSettingsException(
                     "proxy " + proxy + " can't be sent " + signals + ": " + e.getMessage());
--- a/src/main/java/lemondrift/proxy/client/ResponseWriter.java
+++ b/src/main/java/lemondrift/proxy/client/ResponseWriter.java
@@ -14,7 +14,6 @@
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.proxy.events.BackendResponse;
 import lemondrift.proxy.events.PendingRequest;
-import lemondrift.proxy.http.BodyChunks;
 import lemondrift.proxy.http.BodyRelay;
 import lemondrift.proxy.http.ProxyHeaders;
 import lemondrift.proxy.logging.FailureLog;
@@ -255,35 +254,6 @@
         }
     }
 
-    /** A long response from its beginning, which was read whole, to its end. */
-    private static final class LongResponse implements BodyChunks {
-        private final BackendResponse response;
-        private boolean beginningGiven;
-
-        LongResponse(BackendResponse response) {
-            this.response = response;
-        }
-
-        @Override
-        public ByteBuffer next() throws IOException {
-            if (!beginningGiven) {
-                beginningGiven = true;
-                return ByteBuffer.wrap(response.body());
-            }
-            return response.remainder().next();
-        }
-
-        @Override
-        public boolean isComplete() {
-            return beginningGiven && response.remainder().isComplete();
-        }
-
-        @Override
-        public void awaitMore(Runnable action) {
-            response.remainder().awaitMore(action);
-        }
-    }
-
     private void writeEmpty(HttpServerExchange exchange, int status) {
         write(exchange, status, new byte[0], IoCallback.END_EXCHANGE);
     }
--- a/src/test/java/lemondrift/lab/fleet/Fleets.java
+++ b/src/test/java/lemondrift/lab/fleet/Fleets.java
@@ -63,6 +63,7 @@
         List<String> command =
                 List.of(
                         ProxyProcess.javaCommand(),
+                        ProxyProcess.NATIVE_LIBRARY_OPTION,
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
                         "-Xmx88m",
--- a/src/test/java/lemondrift/proxy/ProxyProcess.java
+++ b/src/test/java/lemondrift/proxy/ProxyProcess.java
@@ -29,6 +29,9 @@
 
     private static final int MAX_LISTEN_PORT = 30_000;
 
+    /** Lets a process that was started with SIGHUP ignored take it over. */
+    public static final String NATIVE_LIBRARY_OPTION = "-Djava.library.path=target/native";
+
     private ProxyProcess() {}
 
     /** A process of the proxy, its log on its output. */
@@ -44,6 +47,7 @@
     private static List<String> serveCommand() {
         return List.of(
                 javaCommand(),
+                NATIVE_LIBRARY_OPTION,
                 "-cp",
                 System.getProperty("java.class.path"),
                 "lemondrift.Main",
@@ -52,7 +56,7 @@
 
     /**
      * A java command as {@code run} of the deploy file starts one: by the shell, which does what
-     * that says before, and with the folder of the native library.
+     * that says before.
      */
     public static List<String> asDeployed(List<String> javaCommand) throws IOException {
         String deployed =
@@ -62,15 +66,8 @@
                         .asText();
         String before = deployed.substring(0, deployed.indexOf("PROXY_PEERS="));
         List<String> command =
-                new ArrayList<>(
-                        List.of(
-                                "/bin/sh",
-                                "-c",
-                                before + "exec \"$@\"",
-                                "sh",
-                                javaCommand.get(0),
-                                "-Djava.library.path=target/native"));
-        command.addAll(javaCommand.subList(1, javaCommand.size()));
+                new ArrayList<>(List.of("/bin/sh", "-c", before + "exec \"$@\"", "sh"));
+        command.addAll(javaCommand);
         return command;
     }
 
