A polled list may take 2.5 s: a slow discovery was given up each time, and drains unheard

Cause: one fixed time for a full list, made for an agent on the same machine, and a call that is given up is made anew with the same time. Ruled out: SIGHUP late, list queued or applied late, no connection free, load.

Mend: 2.5 s for a full list where the balancer polls; a pushed list keeps 0.5 s.

--- a/src/main/java/lemondrift/proxy/discovery/EndpointListWatch.java
+++ b/src/main/java/lemondrift/proxy/discovery/EndpointListWatch.java
@@ -49,9 +49,15 @@
     /** Seconds between a failed call and the next, where the balancer does not poll. */
     private static final double RETRY_PAUSE_SECONDS = 0.1;
 
-    /** Seconds for a new connection, and for the response to a call that is not held. */
+    /** Seconds for a new connection, and for the full list of an agent on this machine. */
     private static final double RESPONSE_TIMEOUT_SECONDS = 0.5;
 
+    /**
+     * Seconds for the full list where the balancer polls. Guards against a discovery that is slow
+     * or crowded and whose list is given up each time.
+     */
+    private static final double POLLED_LIST_TIMEOUT_SECONDS = 2.5;
+
     /** Seconds for which the start waits for the first list: a connection and a response. */
     private static final double FIRST_LIST_TIMEOUT_SECONDS = 2 * RESPONSE_TIMEOUT_SECONDS;
 
@@ -195,7 +201,7 @@
                         BackendCall.getRequest(path, pool.address.getHostString()),
                         MAX_LIST_BYTES,
                         RESPONSE_TIMEOUT_SECONDS,
-                        full ? RESPONSE_TIMEOUT_SECONDS : holdSeconds + HOLD_SLACK_SECONDS,
+                        full ? fullListTimeoutSeconds() : holdSeconds + HOLD_SLACK_SECONDS,
                         this::callEnded);
         if (call == null) {
             callFailed("no connection free");
@@ -205,6 +211,10 @@
         }
     }
 
+    private double fullListTimeoutSeconds() {
+        return polling ? POLLED_LIST_TIMEOUT_SECONDS : RESPONSE_TIMEOUT_SECONDS;
+    }
+
     private void callEnded(BackendResponse response) {
         call = null;
         state = State.IDLE;
--- /dev/null
+++ b/src/test/java/lemondrift/proxy/SlowDiscoveryTest.java
@@ -0,0 +1,54 @@
+package lemondrift.proxy;
+
+import static lemondrift.proxy.DiscoveryMessages.endpointList;
+import static lemondrift.proxy.DiscoveryMessages.member;
+import static lemondrift.proxy.HttpMessages.OK;
+import static lemondrift.proxy.HttpMessages.okResponse;
+import static lemondrift.proxy.ScriptedServer.CLOSE;
+import static lemondrift.proxy.ScriptedServer.SILENCE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import lemondrift.proxy.config.ProxyConfig;
+import org.junit.jupiter.api.Test;
+
+/** Discovery that takes long for each response, where the endpoint list is polled. */
+class SlowDiscoveryTest extends LoopbackFixture {
+    /** Milliseconds that discovery takes for each response. */
+    private static final int RESPONSE_MILLIS = 1200;
+
+    /** Seconds after which a change counts as known to the proxy. */
+    private static final int KNOWN_AFTER_SECONDS = 6;
+
+    private static String afterAWhile(String response) {
+        try {
+            Thread.sleep(RESPONSE_MILLIS);
+            return response;
+        } catch (InterruptedException e) {
+            return CLOSE;
+        }
+    }
+
+    /** Guards against a slow list that is given up each time, so that drains are never heard of. */
+    @Test
+    void followsTheListOfASlowDiscoveryAfterAReload() throws Exception {
+        membershipMode = "on_request";
+        ScriptedServer former = backend(OK);
+        ScriptedServer next = backend(OK);
+        start(former);
+        String fullList = endpointList(7, true, member(0, next.port(), "active"));
+        ScriptedServer slow =
+                scriptedServer(
+                        request ->
+                                request.contains("?")
+                                        ? SILENCE
+                                        : afterAWhile(okResponse(fullList)));
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(KNOWN_AFTER_SECONDS);
+        proxy.reload(ProxyConfig.read(config(slow.port())));
+        while (next.requests.isEmpty()) {
+            assertTrue(System.nanoTime() < deadline, "the new list is not followed");
+            assertEquals(200, sendIdempotent().statusCode());
+        }
+    }
+}
