--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/lemondrift.jar ] && [ -d target/review ] || exit 2
-timeout -k 5 110 java -cp target/review review.GoneClients "$PWD" "$PWD/review/3"
+timeout -k 5 110 java -cp target/review review.CutDownloads "$PWD" "$PWD/review/3"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
