SIGTERM sends long responses that have begun to their end

Cause: GracefulShutdown had one end for all that is open, the longest timeout and 0.6 s, which is a deadline of requests; a response that has begun has none. Ruled out: the stall timeouts (8.8 s), and the end of the open requests 0.1 s before, after which bytes went on.

Change: at that time the service ends, no longer the process: listening socket, connections without a response, discovery, gossip, decisions and idle backend connections end as before. The last client of a streamed response has the idle time to close, so that the process does not end on unread bytes. Where no response is being sent, nothing lasts longer.

The same cause: a connection whose response began before a drain was promised to stay open and got no close time (SIGTERM and quiesce), and so one whose reading is paused after a refusal. It is closed after the response; a request that is there already is rejected, not lost.

--- a/src/main/java/lemondrift/connection/ConnectionDrain.java
+++ b/src/main/java/lemondrift/connection/ConnectionDrain.java
@@ -12,6 +12,11 @@
         ConnectionState.IDLE, ConnectionState.NEW
     };
 
+    /** States of a connection whose response may have promised that it stays open. */
+    private static final ConnectionState[] STATES_WITH_RESPONSE = {
+        ConnectionState.SENDING_RESPONSE, ConnectionState.READ_PAUSED
+    };
+
     private final ConnectionLimits limits;
     private final ConnectionTable connections;
 
@@ -49,6 +54,23 @@
                 closeAt[connection] = startedAt + (until - now) * rank++ / count;
             }
         }
+        closeAfterResponse();
+    }
+
+    /**
+     * Sets the close time of connections whose current response keeps them open. Guards against
+     * connections that stay idle after a response that began before the drain and ends late in it.
+     */
+    private void closeAfterResponse() {
+        for (ConnectionState state : STATES_WITH_RESPONSE) {
+            for (int connection = connections.first(state);
+                    connection != ConnectionTable.NONE;
+                    connection = connections.after(connection)) {
+                if (connections.closeReasons[connection] == CloseReason.CLIENT_CLOSED) {
+                    closeAt[connection] = endsAt;
+                }
+            }
+        }
     }
 
     void stop() {
@@ -90,14 +112,33 @@
         return true;
     }
 
+    /**
+     * Returns whether an open connection is closed when no more requests are served: no response is
+     * being sent on it, nor was its closing response sent.
+     */
+    boolean mayCloseAtEnd(int connection) {
+        return !connections.isIn(connection, ConnectionState.FREE)
+                && !connections.isIn(connection, ConnectionState.SENDING_RESPONSE)
+                && !isClosingResponseSent(connection);
+    }
+
     /**
      * Returns whether a connection was sent its closing response and had enough time to read it.
      * Guards against a reset that destroys the response in transit: if the process ends with unread
-     * bytes on a connection, the kernel sends a reset.
+     * bytes on a connection, the kernel sends a reset. A streamed response can fill the kernel's
+     * buffers, so its client has as long as an idle connection.
      */
     private boolean hasTakenClosingResponse(int connection, double now) {
+        double secondsToRead =
+                connections.responseStreamed[connection]
+                        ? limits.maxIdleSeconds()
+                        : limits.firstReadPauseSeconds();
+        return isClosingResponseSent(connection)
+                && connections.secondsInState(connection, now) >= secondsToRead;
+    }
+
+    private boolean isClosingResponseSent(int connection) {
         return connections.closeReasons[connection] == CloseReason.DRAINING
-                && connections.secondsInState(connection, now) >= limits.firstReadPauseSeconds()
                 && (connections.isIn(connection, ConnectionState.IDLE)
                         || connections.isIn(connection, ConnectionState.READING_HEAD));
     }
--- a/src/main/java/lemondrift/connection/ConnectionPolicy.java
+++ b/src/main/java/lemondrift/connection/ConnectionPolicy.java
@@ -182,6 +182,7 @@
     public boolean responseReady(int connection, double now) {
         double time = pauseClock.runningTime(now);
         connections.responseCounts[connection]++;
+        connections.responseStreamed[connection] = false;
         deadlines.setWriteDeadline(connection, time);
         connections.enter(connection, ConnectionState.SENDING_RESPONSE, time);
         CloseReason reason = reasonToCloseWithResponse(connection, time);
@@ -214,11 +215,12 @@
     }
 
     /**
-     * Called when more bytes of a response are available to be sent. Guards against closing a
-     * client's connection because of a slow backend.
+     * Called when more bytes of a streamed response are available to be sent. Guards against
+     * closing a client's connection because of a slow backend.
      */
     public void responseBytesAvailable(int connection, double now) {
         if (connections.isIn(connection, ConnectionState.SENDING_RESPONSE)) {
+            connections.responseStreamed[connection] = true;
             deadlines.setWriteDeadline(connection, pauseClock.runningTime(now));
         }
     }
@@ -367,6 +369,18 @@
         drain.stop();
     }
 
+    /**
+     * Closes every connection on which no response is being sent, except those that were sent their
+     * closing response. Used at the end of a drain, when no more requests are served.
+     */
+    public void closeAllWithoutResponse() {
+        for (int connection = 0; connection < connections.capacity(); connection++) {
+            if (drain.mayCloseAtEnd(connection)) {
+                close(connection, CloseReason.DRAINING);
+            }
+        }
+    }
+
     /**
      * Returns whether no connection is open, except those that were sent the closing response of
      * the drain and had enough time to read it.
--- a/src/main/java/lemondrift/connection/ConnectionTable.java
+++ b/src/main/java/lemondrift/connection/ConnectionTable.java
@@ -42,6 +42,9 @@
      */
     final boolean[] pipelined;
 
+    /** Whether the response that is being sent, or was sent last, is forwarded as it arrives. */
+    final boolean[] responseStreamed;
+
     final int[] responseCounts;
     final int[] consecutiveInvalidRequests;
     final double[] acceptedAt;
@@ -68,6 +71,7 @@
         closeReasons = new CloseReason[capacity];
         keepAliveAnnounced = new boolean[capacity];
         pipelined = new boolean[capacity];
+        responseStreamed = new boolean[capacity];
         responseCounts = new int[capacity];
         consecutiveInvalidRequests = new int[capacity];
         acceptedAt = new double[capacity];
@@ -116,6 +120,7 @@
         closeReasons[connection] = CloseReason.CLIENT_CLOSED;
         keepAliveAnnounced[connection] = false;
         pipelined[connection] = false;
+        responseStreamed[connection] = false;
         responseCounts[connection] = 0;
         consecutiveInvalidRequests[connection] = 0;
         acceptedAt[connection] = now;
--- a/src/main/java/lemondrift/proxy/GracefulShutdown.java
+++ b/src/main/java/lemondrift/proxy/GracefulShutdown.java
@@ -5,6 +5,8 @@
 import lemondrift.proxy.client.ClientListener;
 import lemondrift.proxy.loop.DecisionLoop;
 import lemondrift.proxy.time.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -21,13 +23,18 @@
  *   <li>At the request deadline + {@link #RESPONSE_GRACE_SECONDS}: requests that are still open are
  *       rejected or failed. The request deadline is the time at which a request that arrives at the
  *       signal times out at the latest.
- *   <li>At the request deadline + {@link #READ_GRACE_SECONDS}: the shutdown is complete, even if
- *       requests are open.
+ *   <li>At the request deadline + {@link #READ_GRACE_SECONDS}: the service ends. The listener
+ *       closes, and so does every connection on which no response is being sent.
+ *   <li>Until the drain timeout: responses that have begun are sent to their end, as they have no
+ *       deadline of their own; the client connections' timeouts end those that make no progress.
+ *       The shutdown is complete as soon as none is left.
  * </ol>
  *
  * <p>Blocks the thread that handles the signal. The checks run on the I/O thread.
  */
 final class GracefulShutdown {
+    private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
+
     /** Seconds during which new clients are accepted and idle connections are closed. */
     private static final double ACCEPT_SECONDS = 0.55;
 
@@ -50,6 +57,8 @@
     private final double acceptUntil;
     private final double responseDeadline;
     private final double readDeadline;
+    private final double drainDeadline;
+    private final CountDownLatch drained = new CountDownLatch(1);
 
     /**
      * Creates a shutdown.
@@ -57,6 +66,7 @@
      * @param startedAt the start of the shutdown, in seconds of the clock
      * @param requestDeadline the time at which the last request that arrives until the start times
      *     out, in seconds of the clock
+     * @param drainTimeoutSeconds how long after the start responses may still be sent
      */
     GracefulShutdown(
             MonotonicClock clock,
@@ -64,7 +74,8 @@
             ClientListener clientListener,
             DecisionLoop decisionLoop,
             double startedAt,
-            double requestDeadline) {
+            double requestDeadline,
+            double drainTimeoutSeconds) {
         this.clock = clock;
         this.ioThread = ioThread;
         this.clientListener = clientListener;
@@ -72,6 +83,7 @@
         acceptUntil = startedAt + ACCEPT_SECONDS;
         responseDeadline = requestDeadline + RESPONSE_GRACE_SECONDS;
         readDeadline = requestDeadline + READ_GRACE_SECONDS;
+        drainDeadline = Math.max(readDeadline, startedAt + drainTimeoutSeconds);
     }
 
     /**
@@ -85,27 +97,50 @@
     /**
      * Returns once all requests are answered, or at the last deadline.
      *
+     * @param onServiceEnded runs if responses are still being sent when no more requests are served
      * @throws InterruptedException if the thread is interrupted while it waits
      */
-    void awaitResponses() throws InterruptedException {
-        CountDownLatch drained = new CountDownLatch(1);
+    void awaitResponses(Runnable onServiceEnded) throws InterruptedException {
         XnioExecutor.Key checks =
                 ioThread.executeAtInterval(
-                        () -> closeIfDrained(drained),
+                        this::closeIfDrained,
                         (long) (CHECK_INTERVAL_SECONDS * 1e9),
                         TimeUnit.NANOSECONDS);
         if (!await(drained, responseDeadline)) {
             decisionLoop.endOpenRequests();
-            await(drained, readDeadline);
+            if (!await(drained, readDeadline) && drainDeadline > readDeadline) {
+                awaitLongResponses(onServiceEnded);
+            }
         }
         checks.remove();
     }
 
+    private void awaitLongResponses(Runnable onServiceEnded) throws InterruptedException {
+        CountDownLatch serviceEnded = new CountDownLatch(1);
+        ioThread.execute(() -> endService(serviceEnded));
+        if (await(serviceEnded, drainDeadline) && drained.getCount() > 0) {
+            onServiceEnded.run();
+            if (!await(drained, drainDeadline)) {
+                LOG.warn("drain timeout, responses cut off: {}", clientListener.sendingCount());
+            }
+        }
+    }
+
+    private void endService(CountDownLatch serviceEnded) {
+        int sending = clientListener.endService();
+        if (sending == 0) {
+            drained.countDown();
+        } else {
+            LOG.info("no more requests are served, responses still being sent: {}", sending);
+        }
+        serviceEnded.countDown();
+    }
+
     /**
      * Checks and closes in one step on the I/O thread. Guards against losing a request that is read
      * between a check and a close on another thread.
      */
-    private void closeIfDrained(CountDownLatch drained) {
+    private void closeIfDrained() {
         if (clock.now() >= acceptUntil && clientListener.isDrained()) {
             clientListener.close();
             drained.countDown();
--- a/src/main/java/lemondrift/proxy/ProxyServer.java
+++ b/src/main/java/lemondrift/proxy/ProxyServer.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import lemondrift.balancer.LoadBalancer;
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.proxy.admin.AdminOperations;
@@ -74,6 +75,8 @@
 
     private volatile Phase phase = Phase.STARTING;
 
+    private final AtomicBoolean decisionsStopped = new AtomicBoolean();
+
     /**
      * Creates a proxy on a worker of its own that opens sockets to its backends.
      *
@@ -271,13 +274,24 @@
         resourceSharing.watch(takeoverLock);
     }
 
+    /**
+     * Shuts down as {@link #drain(double)} does, without a wait for responses that have begun.
+     *
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public void drain() throws InterruptedException {
+        drain(0);
+    }
+
     /**
      * Shuts down gracefully, as at SIGTERM; see {@link GracefulShutdown}. Accepts clients for a
      * short time, answers all accepted requests, stops the threads and returns.
      *
+     * @param timeoutSeconds how long responses that have begun may still be sent, 0 or more; all
+     *     requests without a response are answered regardless of it
      * @throws InterruptedException if the thread is interrupted while it waits
      */
-    public void drain() throws InterruptedException {
+    public void drain(double timeoutSeconds) throws InterruptedException {
         double now = clock.now();
         GracefulShutdown shutdown =
                 new GracefulShutdown(
@@ -286,11 +300,12 @@
                         clientListener,
                         decisionLoop,
                         now,
-                        configReload.requestDeadline(now));
+                        configReload.requestDeadline(now),
+                        timeoutSeconds);
         shutdown.begin();
         advanceTo(Phase.DRAINING);
         LOG.info("draining");
-        shutdown.awaitResponses();
+        shutdown.awaitResponses(this::stopDecisions);
         close();
         advanceTo(Phase.STOPPED);
         LOG.info("stopped");
@@ -307,6 +322,19 @@
     /** Stops all threads, even if requests are open. */
     public void close() {
         clientListener.close();
+        stopDecisions();
+        worker.shutdown();
+    }
+
+    /**
+     * Stops what serves new requests: discovery, gossip, the decision loop, idle connections to
+     * backends, and recovery, which stores its last snapshot. Responses are still forwarded. Does
+     * nothing if called again.
+     */
+    private void stopDecisions() {
+        if (decisionsStopped.getAndSet(true)) {
+            return;
+        }
         worker.getIoThread()
                 .execute(
                         () -> {
@@ -320,7 +348,6 @@
         if (decisionLoop.recoveryCoordinator() != null) {
             decisionLoop.recoveryCoordinator().close();
         }
-        worker.shutdown();
     }
 
     /** Runs a task on the I/O thread, which may read the state of connections. */
--- a/src/main/java/lemondrift/proxy/backend/BackendClient.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendClient.java
@@ -229,9 +229,10 @@
                 (int) (share * BACKEND_CONNECTIONS_SHARE * config.maxConnections()));
     }
 
-    /** Stops checking for idle connections. */
+    /** Closes idle connections now, and the others when their calls or streamed responses end. */
     public void stop() {
         idleSweep.remove();
+        poolsByBackend.values().forEach(ConnectionPool::retire);
     }
 
     private ConnectionPool poolFor(int backend, InetSocketAddress address) {
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -13,6 +13,7 @@
 import lemondrift.connection.CloseReason;
 import lemondrift.connection.ConnectionLimits;
 import lemondrift.connection.ConnectionPolicy;
+import lemondrift.connection.ConnectionState;
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.model.Request;
 import lemondrift.proxy.time.MonotonicClock;
@@ -125,6 +126,19 @@
         return policy.isDrained(clock.now());
     }
 
+    /** Returns on how many connections a response is being sent. */
+    int sendingCount() {
+        return policy.count(ConnectionState.SENDING_RESPONSE);
+    }
+
+    /**
+     * Closes every connection on which no response is being sent, except those that were sent their
+     * closing response.
+     */
+    void closeAllWithoutResponse() {
+        policy.closeAllWithoutResponse();
+    }
+
     /** Returns the connection of a socket; null if it has been closed. */
     ClientConnection find(StreamConnection socket) {
         return bySocket.get(socket);
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -249,9 +249,28 @@
         return connections.isDrained();
     }
 
+    /**
+     * Ends the service at the end of a drain: closes this process's own listening socket and every
+     * connection on which no response is being sent, and rejects requests that still arrive on the
+     * others.
+     *
+     * @return on how many connections a response is being sent
+     */
+    public int endService() {
+        IoUtils.safeClose(server);
+        admission.close();
+        connections.closeAllWithoutResponse();
+        return connections.sendingCount();
+    }
+
+    /** Returns on how many connections a response is being sent. */
+    public int sendingCount() {
+        return connections.sendingCount();
+    }
+
     /** Accepts one connection; returns null if none waits or the process has no own socket. */
     private StreamConnection acceptNext() throws IOException {
-        return server == null ? null : server.accept();
+        return server == null || !server.isOpen() ? null : server.accept();
     }
 
     /**
--- a/src/main/java/lemondrift/proxy/client/RequestAdmission.java
+++ b/src/main/java/lemondrift/proxy/client/RequestAdmission.java
@@ -12,7 +12,8 @@
 /**
  * Hands requests to the balancer as fast as it decides them. Requests that it can't decide in time
  * are held back here, or shed (503, WAIT_TOO_LONG) according to the balancer's threshold. Requests
- * that the balancer leaves open past their deadline are ended here (OVERDUE). I/O thread only.
+ * that the balancer leaves open past their deadline are ended here (OVERDUE). Once it is closed,
+ * all requests are rejected here (SHUTDOWN). I/O thread only.
  */
 final class RequestAdmission {
     /** The Retry-After in seconds of a rejection that sends none. */
@@ -23,6 +24,7 @@
     private final ResponseWriter responseWriter;
     private final MonotonicClock clock;
     private Runnable beforeEachRequest = () -> {};
+    private boolean closed;
 
     RequestAdmission(
             double latencyObjectiveSeconds,
@@ -45,10 +47,20 @@
         requestQueue.setLatencyObjective(seconds);
     }
 
+    /** Rejects all requests from now on, as the balancer decides no more. */
+    void close() {
+        closed = true;
+    }
+
     /** Queues a request for the balancer, holds it back, or sheds it. */
     void offer(PendingRequest pending) {
-        beforeEachRequest.run();
         Request request = pending.request();
+        if (closed) {
+            request.failureReason = FailureReason.SHUTDOWN;
+            responseWriter.reject(pending, NO_RETRY_AFTER);
+            return;
+        }
+        beforeEachRequest.run();
         double decideBy =
                 request.arrivedAt
                         + Math.min(
--- a/src/main/java/lemondrift/proxy/lifecycle/ProxyLauncher.java
+++ b/src/main/java/lemondrift/proxy/lifecycle/ProxyLauncher.java
@@ -30,6 +30,9 @@
     /** Null until the start has created it. */
     private volatile ProxyServer proxyServer;
 
+    /** Seconds from SIGTERM until which responses that have begun may be sent to their end. */
+    private volatile double drainTimeoutSeconds;
+
     /** Null until the start has created it. */
     private volatile AsyncLog asyncLog;
 
@@ -61,6 +64,7 @@
         configureLibraries();
         try {
             ProxyConfig config = ProxyConfig.read(environment);
+            DrainTimeout.readSeconds(environment);
             if (inheritedSocket(environment) != null) {
                 openTakeoverLock(environment, config);
             }
@@ -86,6 +90,7 @@
 
     private void start() throws IOException {
         ProxyConfig config = ProxyConfig.read(environment);
+        drainTimeoutSeconds = DrainTimeout.readSeconds(environment);
         // Asynchronous: a stopped reader of the log would otherwise block each thread that logs.
         asyncLog = AsyncLog.redirectStandardError();
         ServerSocketChannel inheritedSocket = inheritedSocket(environment);
@@ -126,7 +131,7 @@
     private void onTerminate() {
         try {
             if (proxyServer != null) {
-                proxyServer.drain();
+                proxyServer.drain(drainTimeoutSeconds);
             }
         } catch (InterruptedException | RuntimeException e) {
             // Catches every exception: the process must exit with 0 even if draining failed.
--- a/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -391,6 +392,54 @@
                 "the response closes the connection");
     }
 
+    /**
+     * Guards against a connection that stays open after a drain, because its response promised so
+     * before the drain began.
+     */
+    @Test
+    void connectionClosesAfterResponseThatBeganBeforeTheDrain() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int sending = model.accept();
+        int refused = model.accept();
+        model.sendRequest(sending, 0);
+        model.sendRequest(refused, 0);
+        assertTrue(model.policy.responseReady(sending, model.now));
+        assertTrue(model.policy.responseReady(refused, model.now));
+        model.policy.startReadPause(refused, model.now);
+        model.policy.startDrain(model.now, model.now + 0.5);
+        model.advance(0.9);
+        model.policy.responseSent(refused, 0, model.now);
+        model.clients.get(refused).state = ConnectionState.IDLE;
+        model.advance(1);
+        model.policy.responseSent(sending, 1, model.now);
+        model.clients.get(sending).state = ConnectionState.IDLE;
+        model.advance(0.05);
+        assertEquals(2, model.closedCount(CloseReason.DRAINING));
+    }
+
+    @Test
+    void endOfDrainClosesAllButConnectionsWithResponse() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int sending = model.accept();
+        int closing = model.accept();
+        int idle = model.accept();
+        int reading = model.accept();
+        model.accept();
+        model.exchange(idle);
+        model.sendBytes(reading, 1);
+        model.sendRequest(sending, 0);
+        model.sendRequest(closing, 0);
+        assertTrue(model.policy.responseReady(sending, model.now));
+        model.policy.startDrain(model.now, model.now + 0.5);
+        assertFalse(model.policy.responseReady(closing, model.now));
+        model.policy.responseSent(closing, 1, model.now);
+        model.policy.closeAllWithoutResponse();
+        assertEquals(Set.of(sending, closing), model.clients.keySet());
+        assertFalse(model.policy.isDrained(model.now + 1));
+        model.policy.closed(sending, model.now);
+        assertTrue(model.policy.isDrained(model.now + 1));
+    }
+
     @Test
     void openConnectionsStayWithinTheLimit() {
         for (int maxConnections : new int[] {14, 129, 9806}) {
--- a/src/test/java/lemondrift/proxy/ProxyProcess.java
+++ b/src/test/java/lemondrift/proxy/ProxyProcess.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -71,8 +72,21 @@
         return command;
     }
 
+    /** Starts a proxy process with further environment variables. */
+    public static Process start(Path configFile, Map<String, String> environment)
+            throws IOException {
+        return start(configFile, serveCommand(), environment);
+    }
+
     private static Process start(Path configFile, List<String> arguments) throws IOException {
+        return start(configFile, arguments, Map.of());
+    }
+
+    private static Process start(
+            Path configFile, List<String> arguments, Map<String, String> environment)
+            throws IOException {
         ProcessBuilder command = new ProcessBuilder(arguments);
+        command.environment().putAll(environment);
         command.environment().put("PROXY_CONFIG", configFile.toString());
         return command.redirectErrorStream(true).start();
     }
