Answer a long request in time while its backend takes nothing of it

Cause: the read deadline of READING_BODY runs although the proxy itself has stopped reading, because the backend takes nothing; the time that the backend takes is counted against the client (SLOW_REQUEST). Ruled out: a slow client (last byte written 2 s before), the backend's stall timeout (8.8 s), the response timeout (not yet begun).

Change: who is waited for is a state, AWAITING_BACKEND, in which the read deadline stands still, eviction passes over the connection and its source pays nothing. The body is stopped before the response is written, so that no backend gets the last byte behind a 503; a backend that took nothing for half the response time counts as failed. The rest of the request is dropped (DISCARDING_REQUEST, 8.8 s at most) before the close, as a close with unread bytes resets. The last byte of a body is passed on only after a look whether its client has closed: a request whose client left during the pause no longer comes whole to its backend.

--- a/src/main/java/lemondrift/connection/ConnectionDeadlines.java
+++ b/src/main/java/lemondrift/connection/ConnectionDeadlines.java
@@ -10,6 +10,8 @@
  * <tr><td>NEW</td><td>first-byte timeout: NO_REQUEST</td></tr>
  * <tr><td>READING_HEAD, READING_BODY</td><td>read timeout: SLOW_REQUEST; for the first head of a
  * connection also the first-head timeout, counted from its accept</td></tr>
+ * <tr><td>DISCARDING_REQUEST</td><td>read timeout, or write timeout from its start:
+ * SLOW_REQUEST</td></tr>
  * <tr><td>SENDING_RESPONSE</td><td>write timeout: SLOW_READER</td></tr>
  * <tr><td>IDLE</td><td>longest idle time: IDLE_TIMEOUT; learned idle limit:
  * REUSE_UNLIKELY</td></tr>
@@ -56,6 +58,15 @@
         extendDeadline(connection, bytes, limits.readTimeoutSeconds(), now);
     }
 
+    /** Moves the read deadline on by the time that the connection has been in its state. */
+    void postponeReadDeadline(int connection, double now) {
+        connections.deadlines[connection] =
+                Math.min(
+                        now + limits.readTimeoutSeconds(),
+                        connections.deadlines[connection]
+                                + connections.secondsInState(connection, now));
+    }
+
     void setWriteDeadline(int connection, double now) {
         connections.deadlines[connection] = now + limits.writeTimeoutSeconds();
     }
@@ -78,11 +89,19 @@
             case NEW -> isOverdue ? CloseReason.NO_REQUEST : reasonToCloseInDrain(connection, now);
             case READING_HEAD, READING_BODY -> isOverdue ? CloseReason.SLOW_REQUEST : null;
             case SENDING_RESPONSE -> isOverdue ? CloseReason.SLOW_READER : null;
+            case DISCARDING_REQUEST ->
+                    isOverdue || isDiscardingTooLong(connection, now)
+                            ? CloseReason.SLOW_REQUEST
+                            : null;
             case IDLE -> reasonToCloseIdle(connection, now);
-            case FREE, AWAITING_RESPONSE, READ_PAUSED -> null;
+            case FREE, AWAITING_BACKEND, AWAITING_RESPONSE, READ_PAUSED -> null;
         };
     }
 
+    private boolean isDiscardingTooLong(int connection, double now) {
+        return connections.secondsInState(connection, now) > limits.writeTimeoutSeconds();
+    }
+
     private CloseReason reasonToCloseIdle(int connection, double now) {
         double idleSeconds = connections.secondsInState(connection, now);
         if (idleSeconds > limits.maxIdleSeconds()) {
--- a/src/main/java/lemondrift/connection/ConnectionDrain.java
+++ b/src/main/java/lemondrift/connection/ConnectionDrain.java
@@ -105,7 +105,8 @@
     boolean isDone(double now) {
         for (int connection = 0; connection < connections.capacity(); connection++) {
             if (!connections.isIn(connection, ConnectionState.FREE)
-                    && !hasTakenClosingResponse(connection, now)) {
+                    && !hasTakenClosingResponse(connection, now)
+                    && !hasDiscardedLongEnough(connection, now)) {
                 return false;
             }
         }
@@ -137,6 +138,12 @@
                 && connections.secondsInState(connection, now) >= secondsToRead;
     }
 
+    /** Returns whether the rest of a rejected request was dropped for long enough. */
+    private boolean hasDiscardedLongEnough(int connection, double now) {
+        return connections.isIn(connection, ConnectionState.DISCARDING_REQUEST)
+                && connections.secondsInState(connection, now) >= limits.maxReadPauseSeconds();
+    }
+
     private boolean isClosingResponseSent(int connection) {
         return connections.closeReasons[connection] == CloseReason.DRAINING
                 && (connections.isIn(connection, ConnectionState.IDLE)
--- a/src/main/java/lemondrift/connection/ConnectionEviction.java
+++ b/src/main/java/lemondrift/connection/ConnectionEviction.java
@@ -7,7 +7,7 @@
  * Closes connections while there are more than the limit. The candidates of a source are, in this
  * order: connections without a first byte, connections whose first request takes too long, and idle
  * connections, the longest idle first. {@link FairEviction} chooses between sources. A connection
- * with a complete request is never a candidate.
+ * with a complete request, or whose body waits for a backend, is never a candidate.
  */
 final class ConnectionEviction {
     private static final ConnectionState[] STATES_READING_REQUEST = {
--- a/src/main/java/lemondrift/connection/ConnectionPolicy.java
+++ b/src/main/java/lemondrift/connection/ConnectionPolicy.java
@@ -1,5 +1,8 @@
 package lemondrift.connection;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 /**
  * Decides which client connections are accepted, how long each may stay in its state, which stay
  * open after a response, and which are evicted when there are too many. The caller reports the
@@ -33,6 +36,18 @@
      */
     private static final double UNSERVED_CREDIT = 0.25;
 
+    /** The states in which received bytes belong to the current request. */
+    private static final Set<ConnectionState> STATES_READING_REQUEST =
+            EnumSet.of(
+                    ConnectionState.READING_HEAD,
+                    ConnectionState.READING_BODY,
+                    ConnectionState.AWAITING_BACKEND,
+                    ConnectionState.DISCARDING_REQUEST);
+
+    /** The states in which the client is not at fault if its connection closes. */
+    private static final Set<ConnectionState> STATES_AWAITING_PROXY =
+            EnumSet.of(ConnectionState.AWAITING_BACKEND, ConnectionState.AWAITING_RESPONSE);
+
     private final ConnectionLimits limits;
     private final Actions actions;
     private final ConnectionTable connections;
@@ -130,7 +145,7 @@
             keepAlive.reused(connection, time);
             deadlines.setReadDeadline(connection, time);
             connections.enter(connection, ConnectionState.READING_HEAD, time);
-        } else if (state == ConnectionState.READING_HEAD || state == ConnectionState.READING_BODY) {
+        } else if (STATES_READING_REQUEST.contains(state)) {
             deadlines.extendReadDeadline(connection, bytes, time);
         } else {
             connections.pipelined[connection] = true;
@@ -154,6 +169,26 @@
         connections.enter(connection, ConnectionState.READING_BODY, time);
     }
 
+    /**
+     * Called when the body of a request is not read on until a backend has taken more of it. From
+     * now on no time counts against the client.
+     */
+    public void bodyReadPaused(int connection, double now) {
+        if (connections.isIn(connection, ConnectionState.READING_BODY)) {
+            connections.enter(
+                    connection, ConnectionState.AWAITING_BACKEND, pauseClock.runningTime(now));
+        }
+    }
+
+    /** Called when more of the body is awaited from the client after {@link #bodyReadPaused}. */
+    public void bodyReadResumed(int connection, double now) {
+        double time = pauseClock.runningTime(now);
+        if (connections.isIn(connection, ConnectionState.AWAITING_BACKEND)) {
+            deadlines.postponeReadDeadline(connection, time);
+            connections.enter(connection, ConnectionState.READING_BODY, time);
+        }
+    }
+
     /**
      * Called when a request was completely read.
      *
@@ -292,6 +327,16 @@
         return Math.min(limits.maxReadPauseSeconds(), pauseSeconds);
     }
 
+    /**
+     * Called when a response was sent before its request had been read completely, and the rest of
+     * the request is read and dropped. The connection is closed after that, or at a deadline.
+     */
+    public void discardingRequest(int connection, double now) {
+        double time = pauseClock.runningTime(now);
+        deadlines.setReadDeadline(connection, time);
+        connections.enter(connection, ConnectionState.DISCARDING_REQUEST, time);
+    }
+
     /**
      * Called when a connection was closed by either side. Its index is free for another connection
      * from now on. Ignored if the connection is already closed.
@@ -309,8 +354,7 @@
             keepAlive.closedIdle(connection, time);
         }
         ClientSource source = connections.sources[connection];
-        if (connections.responseCounts[connection] == 0
-                && state != ConnectionState.AWAITING_RESPONSE) {
+        if (connections.responseCounts[connection] == 0 && !STATES_AWAITING_PROXY.contains(state)) {
             source.addCost(time, limits.halfLifeSeconds());
         }
         counts.countClosed(reason);
--- a/src/main/java/lemondrift/connection/KeepAlivePolicy.java
+++ b/src/main/java/lemondrift/connection/KeepAlivePolicy.java
@@ -98,12 +98,13 @@
     }
 
     /**
-     * Returns the number of open connections that neither wait for a response nor send one, as a
-     * ratio to the number at which a slot has its full price.
+     * Returns the number of open connections that neither wait for a backend or a response nor send
+     * one, as a ratio to the number at which a slot has its full price.
      */
     private double unusedRatio() {
         int busy =
-                connections.count(ConnectionState.AWAITING_RESPONSE)
+                connections.count(ConnectionState.AWAITING_BACKEND)
+                        + connections.count(ConnectionState.AWAITING_RESPONSE)
                         + connections.count(ConnectionState.SENDING_RESPONSE);
         return (connections.openCount() - busy)
                 / (ConnectionLimits.UNUSED_SHARE_AT_FULL_PRICE * connections.maxConnections());
--- a/src/main/java/lemondrift/model/FailureReason.java
+++ b/src/main/java/lemondrift/model/FailureReason.java
@@ -33,6 +33,8 @@
     SHUTDOWN,
     /** The balancer had not answered it by its deadline, so the client side of the proxy did. */
     OVERDUE,
+    /** No backend had taken its whole body when its client stopped waiting. */
+    BODY_NOT_TAKEN,
     /** A decision about it threw an exception, which is in the log. */
     INTERNAL_ERROR
 }
--- a/src/main/java/lemondrift/proxy/backend/BackendCall.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendCall.java
@@ -61,7 +61,7 @@
             Runnable onSent,
             Consumer<BackendResponse> onEnd) {
         this.pool = pool;
-        this.requestWriter = new RequestWriter(this, pool.ioThread, request);
+        this.requestWriter = new RequestWriter(this, pool.ioThread, pool.clock, request);
         this.reader = reader;
         this.timeouts = timeouts;
         this.isResponseAwaited = isResponseAwaited;
--- a/src/main/java/lemondrift/proxy/backend/RequestWriter.java
+++ b/src/main/java/lemondrift/proxy/backend/RequestWriter.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import lemondrift.proxy.events.StreamedRequestBody;
 import lemondrift.proxy.http.BodyRelay;
+import lemondrift.proxy.time.MonotonicClock;
 import org.xnio.XnioIoThread;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 
@@ -30,8 +31,15 @@
     /** Takes the place of a head that is not encoded yet; it is never written. */
     private static final ByteBuffer HEAD_PLACEHOLDER = ByteBuffer.allocate(1).asReadOnlyBuffer();
 
+    /**
+     * The share of the response timeout without an accepted byte from which a backend is at fault
+     * if its request ends.
+     */
+    private static final double STALLED_SHARE = 0.5;
+
     private final BackendCall call;
     private final XnioIoThread ioThread;
+    private final MonotonicClock clock;
     private final RequestHead head;
 
     /** The head, once it has been encoded, and the buffered body. */
@@ -47,9 +55,10 @@
 
     private boolean isBodyStreamed;
 
-    RequestWriter(BackendCall call, XnioIoThread ioThread, Request request) {
+    RequestWriter(BackendCall call, XnioIoThread ioThread, MonotonicClock clock, Request request) {
         this.call = call;
         this.ioThread = ioThread;
+        this.clock = clock;
         head = request.head();
         headAndBody = new ByteBuffer[] {HEAD_PLACEHOLDER, ByteBuffer.wrap(request.body())};
         streamedBody = request.streamedBody();
@@ -78,6 +87,9 @@
     /** Starts to write; continues whenever the connection accepts more bytes. */
     void start(ConduitStreamSinkChannel connectionSink) {
         sink = connectionSink;
+        if (streamedBody != null) {
+            streamedBody.onRelease(this::bodyReleased);
+        }
         sink.setWriteListener(channel -> write());
         write();
     }
@@ -111,15 +123,30 @@
         }
     }
 
+    /**
+     * Ends the call if its request is incomplete. Guards against an attempt that stays in flight
+     * after its client closed, or was answered, in the middle of the body, if attempts can't be
+     * cancelled.
+     */
+    private void bodyReleased() {
+        if (isSent()) {
+            return;
+        }
+        if (isBackendStalled()) {
+            call.endConnectionBroken();
+        } else {
+            call.endNotSent();
+        }
+    }
+
+    /** Guards against blaming a backend for a client that closed. */
+    private boolean isBackendStalled() {
+        return bodyRelay != null
+                && bodyRelay.sinkStalledSeconds()
+                        >= STALLED_SHARE * streamedBody.responseTimeoutSeconds();
+    }
+
     private void streamBody() {
-        // Guards against an attempt that stays in flight after its client closed in the middle of
-        // the body, if attempts can't be cancelled.
-        streamedBody.onRelease(
-                () -> {
-                    if (!isSent()) {
-                        call.endNotSent();
-                    }
-                });
         // Guards against a backend that reads nothing; the client side has its own timeouts.
         BodyRelay.StallTimeouts stallTimeouts =
                 new BodyRelay.StallTimeouts(0, streamedBody.stallTimeoutSeconds());
@@ -128,6 +155,7 @@
                         streamedBody,
                         sink,
                         ioThread,
+                        clock::now,
                         stallTimeouts,
                         () -> {},
                         this::bodyRelayEnded);
--- a/src/main/java/lemondrift/proxy/client/ClientConnection.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnection.java
@@ -67,6 +67,9 @@
 
     private boolean closed;
 
+    /** Whether the reply to the current request was counted. */
+    private boolean replyCounted;
+
     ClientConnection(StreamConnection socket, int index, Context context) {
         this.socket = socket;
         this.index = index;
@@ -174,6 +177,7 @@
     /** Reports that the head of a request has been read. */
     void headRead() {
         priorityWeight = NO_REQUEST;
+        replyCounted = false;
         // Guards against a head read before the close, which would reactivate a freed index.
         if (!closed) {
             policy.headRead(index, clock.now());
@@ -194,6 +198,42 @@
         return true;
     }
 
+    /** Reports that the body is not read on until a backend has taken more of it. */
+    void bodyReadPaused() {
+        if (!closed) {
+            policy.bodyReadPaused(index, clock.now());
+        }
+    }
+
+    /** Reports that more of the body is awaited from the client. */
+    void bodyReadResumed() {
+        if (!closed) {
+            policy.bodyReadResumed(index, clock.now());
+        }
+    }
+
+    /**
+     * Stops to pass the body on, as the request gets a response without it. Guards against a
+     * backend that receives the rest after that and executes the request.
+     */
+    void stopBody() {
+        if (body != null) {
+            body.release();
+        }
+    }
+
+    /**
+     * Reads and drops the rest of the body, as the response was sent without it.
+     *
+     * @param onEnd runs once the body has been read to its end
+     */
+    void discardBody(Runnable onEnd) {
+        if (!closed) {
+            policy.discardingRequest(index, clock.now());
+            body.discard(onEnd);
+        }
+    }
+
     /** Reports that the open request has arrived completely. */
     void requestRead() {
         if (!closed && !requestRead) {
@@ -249,6 +289,13 @@
         closeRequest();
     }
 
+    /** Returns whether the reply to the current request is counted for the first time. */
+    boolean countReplyOnce() {
+        boolean first = !replyCounted;
+        replyCounted = true;
+        return first;
+    }
+
     /** Closes the open request and returns it; null if none is open. */
     Request closeRequest() {
         Request ended = request;
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -126,6 +126,15 @@
         return policy.isDrained(clock.now());
     }
 
+    /**
+     * Returns a deadline for the response to a request whose body is read now.
+     *
+     * @param bodyLength the length of the body in bytes, negative if it is not known
+     */
+    UploadDeadline uploadDeadline(ClientConnection connection, long bodyLength) {
+        return new UploadDeadline(ioThread, clock, connection.socket, bodyLength);
+    }
+
     /** Returns on how many connections a response is being sent. */
     int sendingCount() {
         return policy.count(ConnectionState.SENDING_RESPONSE);
--- a/src/main/java/lemondrift/proxy/client/RequestAdmission.java
+++ b/src/main/java/lemondrift/proxy/client/RequestAdmission.java
@@ -99,16 +99,21 @@
     }
 
     /**
-     * Ends a request that is past its deadline, whatever delays the balancer: rejects it if a retry
-     * by the client is harmless, otherwise fails it. No attempt is sent afterwards. Does nothing if
-     * the client no longer waits.
+     * Ends a request that is past its deadline, whatever delays the balancer or the backend:
+     * rejects it if a retry by the client is harmless, otherwise fails it. No attempt is sent
+     * afterwards, and a streamed body is passed on no further. Does nothing if the client no longer
+     * waits.
      */
     void endOverdue(PendingRequest pending) {
         if (!ClientCloseWatch.isClientWaiting(pending)) {
             return;
         }
+        ClientConnection.of(pending.exchange()).stopBody();
         Request request = pending.request();
-        request.failureReason = FailureReason.OVERDUE;
+        request.failureReason =
+                pending.streamedBody() == null || pending.mayHaveBeenExecuted()
+                        ? FailureReason.OVERDUE
+                        : FailureReason.BODY_NOT_TAKEN;
         if (isClientRetryHarmless(pending)) {
             responseWriter.reject(pending, NO_RETRY_AFTER);
         } else {
--- a/src/main/java/lemondrift/proxy/client/RequestBody.java
+++ b/src/main/java/lemondrift/proxy/client/RequestBody.java
@@ -26,7 +26,16 @@
         /** The body exceeds the buffer budget and must be streamed. */
         void streamed(RequestBody body);
 
-        /** The last byte of a streamed body has arrived. */
+        /** The body is not read on until a backend has taken more of it. */
+        void readPaused();
+
+        /** More of the body is awaited from the client. */
+        void readResumed();
+
+        /**
+         * The last byte of a streamed body has been read and is passed on next, unless the body is
+         * released.
+         */
         void streamComplete();
 
         /** A byte that is not buffered is passed on, so that the body can't be sent again. */
@@ -39,6 +48,9 @@
         void unreadable();
     }
 
+    /** Guards against one fast client that keeps the I/O thread from all others. */
+    private static final int MAX_DISCARDED_PIECES_PER_RUN = 16;
+
     private static final ByteBuffer CHUNK_END = ByteBuffer.wrap(new byte[] {'\r', '\n'});
 
     private final StreamSourceChannel channel;
@@ -46,6 +58,10 @@
     private final ByteBufferPool bufferPool;
     private final long maxBytes;
     private final Listener listener;
+    private final UploadDeadline deadline;
+
+    /** The length in bytes; negative if it is not known. */
+    private final long declaredBytes;
 
     /** How long a backend may go without reading any byte of the body. */
     private final double stallTimeoutSeconds;
@@ -83,10 +99,13 @@
             ByteBufferPool bufferPool,
             long maxBytes,
             double stallTimeoutSeconds,
+            UploadDeadline deadline,
             Listener listener) {
         this.stallTimeoutSeconds = stallTimeoutSeconds;
+        this.deadline = deadline;
         channel = exchange.getRequestChannel();
-        chunked = exchange.getRequestContentLength() < 0;
+        declaredBytes = exchange.getRequestContentLength();
+        chunked = declaredBytes < 0;
         this.bufferBudget = bufferBudget;
         this.bufferPool = bufferPool;
         this.maxBytes = maxBytes;
@@ -98,11 +117,10 @@
      * more bytes arrive.
      */
     void readIntoBuffer() {
+        deadline.setAwaitingClient(false);
         try (PooledByteBuffer pooled = bufferPool.allocate()) {
             ByteBuffer piece = pooled.getBuffer();
-            for (int count = channel.read(piece.clear());
-                    count != 0;
-                    count = channel.read(piece.clear())) {
+            for (int count = read(piece.clear()); count != 0; count = read(piece.clear())) {
                 if (count < 0) {
                     sourceEnded = true;
                     listener.buffered(
@@ -111,7 +129,6 @@
                                     : Arrays.copyOf(buffered, bufferedBytes));
                     return;
                 }
-                receivedBytes += count;
                 piece.flip();
                 if (!bufferBudget.tryReserve(bufferedBytes, count)) {
                     startStreaming(piece);
@@ -119,6 +136,7 @@
                 }
                 append(piece, count);
             }
+            deadline.setAwaitingClient(true);
             channel.getReadSetter().set(source -> readIntoBuffer());
             channel.resumeReads();
         } catch (IOException | RuntimeException e) {
@@ -127,6 +145,19 @@
         }
     }
 
+    /**
+     * Reads from the client. Returns the number of bytes, 0 if none have arrived, -1 at the end.
+     */
+    private int read(ByteBuffer to) throws IOException {
+        double now = deadline.now();
+        int count = channel.read(to);
+        if (count >= 0) {
+            receivedBytes += count;
+            deadline.read(count, now);
+        }
+        return count;
+    }
+
     private void append(ByteBuffer piece, int count) {
         int needed = bufferedBytes + count;
         if (needed > buffered.length) {
@@ -139,9 +170,20 @@
     private void startStreaming(ByteBuffer piece) {
         unbuffered = ByteBuffer.allocate(piece.capacity()).put(piece).flip();
         channel.suspendReads();
+        listener.readPaused();
         listener.streamed(this);
     }
 
+    /**
+     * Limits how long the client waits for the response.
+     *
+     * @param timeoutSeconds how long it waits after its last byte
+     * @param onOverdue runs if it has waited that long and the body has not been released
+     */
+    void startDeadline(double timeoutSeconds, Runnable onOverdue) {
+        deadline.start(timeoutSeconds, onOverdue);
+    }
+
     @Override
     public double stallTimeoutSeconds() {
         return stallTimeoutSeconds;
@@ -193,7 +235,7 @@
         if (nextPieces.isEmpty() && !allReturned) {
             readNext();
         }
-        return nextPieces.poll();
+        return stopped ? null : nextPieces.poll();
     }
 
     /**
@@ -204,23 +246,22 @@
             if (!startedUnbuffered) {
                 startedUnbuffered = true;
                 listener.notReplayable();
-            } else if (!sourceEnded) {
-                int count = stopped ? 0 : channel.read(unbuffered.clear());
+            } else if (!stopped && !sourceEnded) {
+                int count = read(unbuffered.clear());
                 unbuffered.flip();
-                receivedBytes += Math.max(0, count);
                 sourceEnded = count < 0;
             }
+            sourceEnded = sourceEnded || isLastByteRead();
             if (receivedBytes > maxBytes) {
                 tooLong();
-            } else if (unbuffered.hasRemaining()) {
+                return;
+            }
+            if (unbuffered.hasRemaining()) {
                 addPiece(unbuffered.slice());
                 unbuffered.position(unbuffered.limit());
-            } else if (sourceEnded) {
-                allReturned = true;
-                listener.streamComplete();
-                if (chunked) {
-                    nextPieces.add(asciiBuffer("0\r\n\r\n"));
-                }
+            }
+            if (sourceEnded) {
+                endStream();
             }
         } catch (IOException | RuntimeException e) {
             // Catches every exception: whatever the decoder throws is not the backend's fault.
@@ -228,6 +269,24 @@
         }
     }
 
+    /**
+     * Returns whether the last byte of a body of known length has been read. Reads the end of the
+     * body, so that the request is complete before its last byte is passed on.
+     */
+    private boolean isLastByteRead() throws IOException {
+        return !stopped
+                && receivedBytes == declaredBytes
+                && channel.read(ByteBuffer.allocate(1)) < 0;
+    }
+
+    private void endStream() {
+        allReturned = true;
+        if (chunked) {
+            nextPieces.add(asciiBuffer("0\r\n\r\n"));
+        }
+        listener.streamComplete();
+    }
+
     private void tooLong() {
         if (!stopped) {
             stopReading();
@@ -249,7 +308,7 @@
 
     @Override
     public boolean isComplete() {
-        return allReturned && nextPieces.isEmpty();
+        return allReturned && nextPieces.isEmpty() && !stopped;
     }
 
     @Override
@@ -257,10 +316,14 @@
         if (stopped) {
             return;
         }
+        deadline.setAwaitingClient(true);
+        listener.readResumed();
         channel.getReadSetter()
                 .set(
                         source -> {
                             source.suspendReads();
+                            deadline.setAwaitingClient(false);
+                            listener.readPaused();
                             action.run();
                         });
         channel.resumeReads();
@@ -271,12 +334,44 @@
         onRelease = action;
     }
 
+    /**
+     * Reads and drops the rest of the body after {@link #release}. Continues when more bytes
+     * arrive.
+     *
+     * @param onEnd runs once at the end of the body, but not if it can't be read or is longer than
+     *     the proxy accepts
+     */
+    void discard(Runnable onEnd) {
+        try (PooledByteBuffer pooled = bufferPool.allocate()) {
+            int count = 1;
+            for (int piece = 0; piece < MAX_DISCARDED_PIECES_PER_RUN && count > 0; piece++) {
+                count = channel.read(pooled.getBuffer().clear());
+                receivedBytes += Math.max(0, count);
+            }
+            if (receivedBytes > maxBytes) {
+                listener.unreadable();
+                return;
+            }
+            if (count < 0) {
+                channel.suspendReads();
+                onEnd.run();
+                return;
+            }
+            channel.getReadSetter().set(source -> discard(onEnd));
+            channel.resumeReads();
+        } catch (IOException | RuntimeException e) {
+            // Catches every exception, as the decoder may throw any: the connection must close.
+            listener.unreadable();
+        }
+    }
+
     /** Frees the buffered bytes and stops reading, as the request has ended. */
     void release() {
         bufferBudget.release(bufferedBytes);
         bufferedBytes = 0;
         buffered = new byte[0];
         stopped = true;
+        deadline.stop();
         onRelease.run();
     }
 }
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -101,7 +101,7 @@
     private void exchangeCompleted(HttpServerExchange exchange, ClientConnection connection) {
         ClientCloseWatch.stop(exchange);
         if (ClientConnection.socketOf(exchange).isOpen()) {
-            responseWriter.countCompleted(exchange);
+            responseWriter.count(exchange);
             connection.responseSent();
         }
     }
@@ -114,6 +114,7 @@
                         bufferPool,
                         MAX_BODY_BYTES,
                         backendStallTimeoutSeconds,
+                        connections.uploadDeadline(connection, exchange.getRequestContentLength()),
                         bodyListener(exchange, connection));
         connection.body.readIntoBuffer();
     }
@@ -131,10 +132,23 @@
                 exchange.dispatch(SameThreadExecutor.INSTANCE, () -> offerStreamed(exchange, body));
             }
 
+            @Override
+            public void readPaused() {
+                connection.bodyReadPaused();
+            }
+
+            @Override
+            public void readResumed() {
+                connection.bodyReadResumed();
+            }
+
             @Override
             public void streamComplete() {
                 connection.requestRead();
                 ClientCloseWatch.start(exchange);
+                // Guards against executing a request whose client closed after its last byte, while
+                // the rest of the body waited unread for a backend.
+                ClientCloseWatch.checkNow(exchange);
             }
 
             @Override
@@ -187,7 +201,8 @@
     /**
      * Offers a request whose body is streamed. It is decided now, and its deadline is the latest
      * possible, so that its client may take as long as it needs to send the body. The time for the
-     * response is limited separately, from the last byte of the body on.
+     * response is limited separately: for the backend from the last byte of the body on, and for
+     * the client by {@link UploadDeadline}.
      */
     private void offerStreamed(HttpServerExchange exchange, RequestBody body) {
         Request parsedRequest = openRequest(exchange);
@@ -196,9 +211,10 @@
                     exchange, StatusCodes.BAD_REQUEST, RefusalReason.BAD_FIELD_OR_OPEN_ID);
             return;
         }
+        double clientTimeoutSeconds = parsedRequest.deadline - parsedRequest.arrivedAt;
         body.setResponseTimeoutSeconds(
                 Math.min(
-                        parsedRequest.deadline - parsedRequest.arrivedAt,
+                        clientTimeoutSeconds,
                         parsedRequest.terms.requestClass().latencyObjectiveSeconds()));
         double timeoutSeconds = RequestValidator.MAX_TIMEOUT_MILLIS / 1e3;
         Request request =
@@ -211,7 +227,9 @@
                         parsedRequest.markedRetry);
         request.terms = parsedRequest.terms.withTimeout(timeoutSeconds);
         ClientConnection.of(exchange).request = request;
-        admission.offer(new PendingRequest(request, exchange, new byte[0], body));
+        PendingRequest pending = new PendingRequest(request, exchange, new byte[0], body);
+        body.startDeadline(clientTimeoutSeconds, () -> admission.endOverdue(pending));
+        admission.offer(pending);
     }
 
     /** Opens a request; returns null if a field is invalid or another open request has its id. */
--- a/src/main/java/lemondrift/proxy/client/ResponseWriter.java
+++ b/src/main/java/lemondrift/proxy/client/ResponseWriter.java
@@ -130,19 +130,15 @@
                 });
     }
 
-    /** Counts a completed response, except for a 4xx, which was counted when it was sent. */
-    void countCompleted(HttpServerExchange exchange) {
-        if (!isClientError(exchange.getStatusCode())) {
-            count(exchange);
-        }
-    }
-
-    private void count(HttpServerExchange exchange) {
+    /** Counts a completed response, unless it was counted when it was sent. */
+    void count(HttpServerExchange exchange) {
         count(exchange, replyFor(exchange.getStatusCode()));
     }
 
     private void count(HttpServerExchange exchange, ProxyMetrics.Reply reply) {
-        metrics.replySent(RequestValidator.requestClassOf(exchange), reply);
+        if (ClientConnection.of(exchange).countReplyOnce()) {
+            metrics.replySent(RequestValidator.requestClassOf(exchange), reply);
+        }
     }
 
     private static boolean isClientError(int status) {
@@ -200,15 +196,24 @@
     }
 
     private void writeNotServed(HttpServerExchange exchange, int status) {
+        ClientConnection.of(exchange).stopBody();
         if (exchange.isRequestComplete()) {
             writeEmpty(exchange, status);
         } else {
             // Undertow would hold an empty response back until the whole request has arrived.
             exchange.setPersistent(false);
-            writeReason(exchange, status, this::closeAfterPause);
+            writeReason(exchange, status, ResponseWriter::discardBody);
         }
     }
 
+    /**
+     * Reads and drops the rest of a request, then closes its connection. Guards against a reset
+     * that destroys the response: the kernel sends one if a connection closes with unread bytes.
+     */
+    private static void discardBody(HttpServerExchange exchange) {
+        ClientConnection.of(exchange).discardBody(exchange::endExchange);
+    }
+
     /** Forwards a backend's response to the client. */
     void deliver(PendingRequest pending, BackendResponse response) {
         HttpServerExchange exchange = pending.exchange();
@@ -237,6 +242,7 @@
                         new LongResponseBody(response),
                         exchange.getResponseChannel(),
                         ioThread,
+                        clock::now,
                         new BodyRelay.StallTimeouts(backendStallTimeoutSeconds, 0),
                         connection::responseBytesAvailable,
                         complete -> {
--- a/src/main/java/lemondrift/proxy/http/BodyRelay.java
+++ b/src/main/java/lemondrift/proxy/http/BodyRelay.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -27,6 +28,7 @@
     private final BodySource source;
     private final StreamSinkChannel sink;
     private final XnioIoThread ioThread;
+    private final DoubleSupplier clock;
     private final StallTimeouts timeouts;
     private final Runnable onRead;
     private final Consumer<Boolean> onEnd;
@@ -34,12 +36,16 @@
     /** The piece that was read last, possibly written in part; null if there is none. */
     private ByteBuffer piece;
 
+    /** When the sink last accepted bytes, in seconds of the clock. */
+    private double sinkProgressAt;
+
     private XnioExecutor.Key stallTimer;
     private boolean ended;
 
     /**
      * Creates a relay, which {@link #run} starts.
      *
+     * @param clock returns the current time in seconds
      * @param onRead runs after each attempt to read a piece
      * @param onEnd receives once whether the complete body was forwarded, but not after {@link
      *     #stop}
@@ -48,12 +54,15 @@
             BodySource source,
             StreamSinkChannel sink,
             XnioIoThread ioThread,
+            DoubleSupplier clock,
             StallTimeouts timeouts,
             Runnable onRead,
             Consumer<Boolean> onEnd) {
         this.source = source;
         this.sink = sink;
         this.ioThread = ioThread;
+        this.clock = clock;
+        sinkProgressAt = clock.getAsDouble();
         this.timeouts = timeouts;
         this.onRead = onRead;
         this.onEnd = onEnd;
@@ -97,12 +106,21 @@
     /** Writes as much of the piece as the sink accepts; returns whether nothing is left of it. */
     private boolean writePiece() throws IOException {
         if (piece != null && piece.hasRemaining()) {
-            sink.write(piece);
+            if (sink.write(piece) > 0) {
+                sinkProgressAt = clock.getAsDouble();
+            }
             return !piece.hasRemaining();
         }
         return true;
     }
 
+    /**
+     * Returns for how many seconds the sink has accepted no byte of a piece; 0 if there is none.
+     */
+    public double sinkStalledSeconds() {
+        return piece != null && piece.hasRemaining() ? clock.getAsDouble() - sinkProgressAt : 0;
+    }
+
     private void awaitSink() {
         sink.resumeWrites();
         startTimer(timeouts.sinkSeconds);
--- a/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
@@ -440,6 +440,79 @@
         assertTrue(model.policy.isDrained(model.now + 1));
     }
 
+    /** Guards against closing a client's connection for the time that its backend takes. */
+    @Test
+    void timeThatABackendTakesForABodyDoesNotCountAgainstItsClient() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int connection = model.accept();
+        model.sendBytes(connection, 100);
+        model.policy.headRead(connection, model.now);
+        model.clients.get(connection).state = ConnectionState.READING_BODY;
+        model.advance(1);
+        model.policy.bodyReadPaused(connection, model.now);
+        model.advance(30);
+        model.policy.bodyReadResumed(connection, model.now);
+        model.advance(1.3);
+        assertEquals(ConnectionState.READING_BODY, model.policy.state(connection));
+        model.advance(0.4);
+        assertEquals(1, model.closedCount(CloseReason.SLOW_REQUEST));
+    }
+
+    /** Guards against a client that buys time with single bytes that a backend takes at once. */
+    @Test
+    void singleBytesOfABodyDoNotRenewTheReadDeadline() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int connection = model.accept();
+        model.sendBytes(connection, 100);
+        model.policy.headRead(connection, model.now);
+        model.clients.get(connection).state = ConnectionState.READING_BODY;
+        for (int k = 0; k < 30 && model.clients.containsKey(connection); k++) {
+            model.policy.bytesReceived(connection, 1, model.now);
+            model.policy.bodyReadPaused(connection, model.now);
+            model.policy.bodyReadResumed(connection, model.now);
+            model.advance(0.1);
+        }
+        assertEquals(1, model.closedCount(CloseReason.SLOW_REQUEST));
+    }
+
+    @Test
+    void connectionWhoseBodyWaitsForABackendIsNotEvicted() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int waiting = model.accept();
+        model.sendBytes(waiting, 100);
+        model.policy.headRead(waiting, model.now);
+        model.policy.bodyReadPaused(waiting, model.now);
+        model.clients.get(waiting).state = ConnectionState.AWAITING_BACKEND;
+        model.advance(1);
+        for (int k = 0; k < 8; k++) {
+            model.accept();
+        }
+        model.advance(0.2);
+        assertEquals(1, model.closedCount(CloseReason.EVICTED));
+        assertTrue(model.clients.containsKey(waiting));
+    }
+
+    @Test
+    void rejectedRequestIsDiscardedForABoundedTime() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(8);
+        int connection = model.accept();
+        model.sendBytes(connection, 100);
+        model.policy.headRead(connection, model.now);
+        model.policy.responseReady(connection, model.now);
+        model.policy.discardingRequest(connection, model.now);
+        model.clients.get(connection).state = ConnectionState.DISCARDING_REQUEST;
+        for (int k = 0; k < 85; k++) {
+            model.policy.bytesReceived(connection, 10_000, model.now);
+            model.advance(0.1);
+        }
+        assertTrue(model.clients.containsKey(connection), "the client makes progress");
+        for (int k = 0; k < 6; k++) {
+            model.policy.bytesReceived(connection, 10_000, model.now);
+            model.advance(0.1);
+        }
+        assertEquals(1, model.closedCount(CloseReason.SLOW_REQUEST));
+    }
+
     @Test
     void openConnectionsStayWithinTheLimit() {
         for (int maxConnections : new int[] {14, 129, 9806}) {
