Notice a client that left behind up to 256 KiB sent ahead before an attempt

Cause: ClientCloseWatch read one buffer of 8 KiB ahead, and once per look; a close behind more unread bytes is not seen, so shouldSend says yes.

Change: the look reads all that has come, into a buffer that grows to 256 KiB (ReadAheadBuffer), all together 1/48 of the memory, apart from the budget of bodies, so that such clients do not displace bodies that can be sent again. Beyond it, as before. Rejected: asking the kernel for the half-close (not reachable from Java without opening the JDK's internals).

--- a/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
+++ b/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
@@ -5,25 +5,24 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import lemondrift.buffer.BodyBufferBudget;
 import lemondrift.proxy.events.PendingRequest;
 import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * Detects that a client closes its connection while it waits for a response, when Undertow reads
- * nothing. Bytes that the client sends ahead of the response are read, at most one buffer of them,
- * and kept for Undertow.
+ * nothing. Bytes that the client sends ahead of the response are read, as many as their budget
+ * allows, and kept for Undertow. A close behind more bytes than that is not noticed.
  */
 final class ClientCloseWatch {
     private ClientCloseWatch() {}
 
     /** Starts to watch the connection of a request that has been read completely. */
     static void start(HttpServerExchange exchange) {
-        AbstractServerConnection connection = connectionOf(exchange);
-        connection
-                .getChannel()
-                .getSourceChannel()
-                .setReadListener(channel -> readAhead(connection));
-        connection.getChannel().getSourceChannel().resumeReads();
+        ConduitStreamSourceChannel source = connectionOf(exchange).getChannel().getSourceChannel();
+        source.setReadListener(channel -> readAhead(exchange));
+        source.resumeReads();
     }
 
     /**
@@ -39,7 +38,7 @@
 
     /** Reads from the socket now, and closes the connection if its client has closed it. */
     static void checkNow(HttpServerExchange exchange) {
-        readAhead(connectionOf(exchange));
+        readAhead(exchange);
     }
 
     /**
@@ -65,33 +64,67 @@
         return (AbstractServerConnection) exchange.getConnection();
     }
 
-    private static void readAhead(AbstractServerConnection connection) {
+    private static void readAhead(HttpServerExchange exchange) {
+        AbstractServerConnection connection = connectionOf(exchange);
         PooledByteBuffer pooled = connection.getExtraBytes();
-        boolean isNew = pooled == null;
-        pooled = isNew ? connection.getByteBufferPool().allocate() : pooled;
-        ByteBuffer buffer = pooled.getBuffer();
-        // Bytes that were read ahead before, by Undertow too, are between position and limit.
-        int start = isNew ? 0 : buffer.position();
-        int end = isNew ? 0 : buffer.limit();
-        int count = 0;
+        if (pooled == null) {
+            pooled = connection.getByteBufferPool().allocate();
+            pooled.getBuffer().limit(0);
+        }
+        int count = 1;
         try {
-            buffer.limit(buffer.capacity()).position(end);
-            count = buffer.hasRemaining() ? connection.getOriginalSourceConduit().read(buffer) : 0;
-            if (!buffer.hasRemaining()) {
-                // Guards against a client that fills the memory with bytes sent ahead.
-                connection.getChannel().getSourceChannel().suspendReads();
+            while (count > 0) {
+                pooled = withRoom(pooled, ClientConnection.of(exchange).readAheadBudget());
+                count = append(connection, pooled);
             }
         } catch (IOException e) {
             count = -1;
         }
-        buffer.limit(Math.max(end, end + count)).position(start);
-        if (count > 0 && isNew) {
-            connection.setExtraBytes(pooled);
-        } else if (isNew) {
-            pooled.close();
+        if (isFull(pooled)) {
+            // Guards against a client that fills the memory with bytes sent ahead.
+            connection.getChannel().getSourceChannel().suspendReads();
         }
+        keepUnread(connection, pooled);
         if (count < 0) {
             IoUtils.safeClose(connection.getChannel());
         }
     }
+
+    /**
+     * Returns the buffer, or a larger one with its bytes if it is full and the budget allows it.
+     */
+    private static PooledByteBuffer withRoom(PooledByteBuffer pooled, BodyBufferBudget budget) {
+        PooledByteBuffer grown = isFull(pooled) ? ReadAheadBuffer.growFrom(pooled, budget) : null;
+        return grown == null ? pooled : grown;
+    }
+
+    /**
+     * Reads once into the free end of a buffer, whose unread bytes are between position and limit.
+     * Returns the number of bytes, -1 if the client has closed.
+     */
+    private static int append(AbstractServerConnection connection, PooledByteBuffer pooled)
+            throws IOException {
+        ByteBuffer buffer = pooled.getBuffer();
+        int start = buffer.position();
+        int end = buffer.limit();
+        buffer.limit(buffer.capacity()).position(end);
+        try {
+            return buffer.hasRemaining() ? connection.getOriginalSourceConduit().read(buffer) : 0;
+        } finally {
+            buffer.limit(buffer.position()).position(start);
+        }
+    }
+
+    private static boolean isFull(PooledByteBuffer pooled) {
+        return pooled.getBuffer().limit() == pooled.getBuffer().capacity();
+    }
+
+    private static void keepUnread(AbstractServerConnection connection, PooledByteBuffer pooled) {
+        if (pooled.getBuffer().hasRemaining()) {
+            connection.setExtraBytes(pooled);
+        } else {
+            connection.setExtraBytes(null);
+            pooled.close();
+        }
+    }
 }
--- a/src/main/java/lemondrift/proxy/client/ClientConnection.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnection.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Set;
+import lemondrift.buffer.BodyBufferBudget;
 import lemondrift.connection.ConnectionPolicy;
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.model.Request;
@@ -33,6 +34,7 @@
             ConnectionPolicy policy,
             MonotonicClock clock,
             ProxyMetrics metrics,
+            BodyBufferBudget readAheadBudget,
             Set<String> openRequestIds) {}
 
     final StreamConnection socket;
@@ -53,6 +55,7 @@
     private final ConnectionPolicy policy;
     private final MonotonicClock clock;
     private final ProxyMetrics metrics;
+    private final BodyBufferBudget readAheadBudget;
     private final Set<String> openRequestIds;
     private final StreamSourceConduit source;
 
@@ -76,6 +79,7 @@
         policy = context.policy;
         clock = context.clock;
         metrics = context.metrics;
+        readAheadBudget = context.readAheadBudget;
         openRequestIds = context.openRequestIds;
         source = socket.getSourceChannel().getConduit();
     }
@@ -92,6 +96,11 @@
         exchange.putAttachment(CONNECTION, this);
     }
 
+    /** Returns the budget for bytes that are sent ahead of a response. */
+    BodyBufferBudget readAheadBudget() {
+        return readAheadBudget;
+    }
+
     /** Reports all reads and writes of the socket to the policy from now on. */
     void observe() {
         socket.getSourceChannel().setConduit(observedSource());
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import lemondrift.buffer.BodyBufferBudget;
 import lemondrift.connection.CloseReason;
 import lemondrift.connection.ConnectionLimits;
 import lemondrift.connection.ConnectionPolicy;
@@ -67,12 +68,15 @@
             ConnectionLimits limits,
             long seed,
             ProxyMetrics metrics,
+            BodyBufferBudget readAheadBudget,
             Consumer<Request> onClientClosed) {
         this.clock = clock;
         this.ioThread = ioThread;
         this.onClientClosed = onClientClosed;
         policy = new ConnectionPolicy(limits, this, seed);
-        context = new ClientConnection.Context(policy, clock, metrics, openRequestIds);
+        context =
+                new ClientConnection.Context(
+                        policy, clock, metrics, readAheadBudget, openRequestIds);
         sweepIntervalSeconds = limits.sweepIntervalSeconds();
         maxConnections = limits.maxConnections();
         byIndex = new ClientConnection[policy.capacity()];
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -39,6 +39,9 @@
     /** The share of the proxy's memory that all buffered bodies together may use. */
     private static final double BUFFERED_MEMORY_SHARE = 1.0 / 12;
 
+    /** The share of the proxy's memory that all bytes sent ahead of responses may use. */
+    private static final double READ_AHEAD_MEMORY_SHARE = 1.0 / 48;
+
     private final ProxyConfig config;
     private final ProxyMetrics metrics;
     private final XnioWorker worker;
@@ -48,6 +51,7 @@
     private final RequestAdmission admission;
     private final ResponseWriter responseWriter;
     private final BodyBufferBudget bufferBudget;
+    private final BodyBufferBudget readAheadBudget;
 
     /** This process's own socket; null if it inherited one, or does not listen. */
     private AcceptingChannel<StreamConnection> server;
@@ -72,6 +76,10 @@
                 new BodyBufferBudget(
                         MAX_BUFFERED_BODY_BYTES,
                         (long) (BUFFERED_MEMORY_SHARE * config.memoryBytes()));
+        readAheadBudget =
+                new BodyBufferBudget(
+                        MAX_BUFFERED_BODY_BYTES,
+                        (long) (READ_AHEAD_MEMORY_SHARE * config.memoryBytes()));
         connections =
                 new ClientConnections(
                         clock,
@@ -79,6 +87,7 @@
                         config.connectionLimits(),
                         config.seed(),
                         metrics,
+                        readAheadBudget,
                         decisionEvents::requestAbandoned);
         responseWriter =
                 new ResponseWriter(worker.getIoThread(), clock, metrics, stallTimeoutSeconds);
@@ -132,6 +141,8 @@
         connections.setShare(share);
         bufferBudget.setMaxTotalBytes(
                 (long) (BUFFERED_MEMORY_SHARE * config.memoryBytes() / processCount));
+        readAheadBudget.setMaxTotalBytes(
+                (long) (READ_AHEAD_MEMORY_SHARE * config.memoryBytes() / processCount));
         if (inheritedServer != null) {
             inheritedServer.setMaxConnections(
                     (int) (share * config.connectionLimits().acceptLimit()));
