Time a long request's attempt out before its client's time is over

The deadline of a streamed request ended it a moment before its attempt timed out, so that the attempt was cancelled, and a backend that takes long requests and never responds would never count as at fault.

Change: once the body is passed on, the response has at most the client's time less 10 ms (StreamedRequestBody.clientSecondsLeft, CallTimeouts.bodyStreamed).

--- a/src/main/java/lemondrift/proxy/backend/BackendCall.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendCall.java
@@ -229,7 +229,7 @@
     /** Called by the {@link RequestWriter} when the kernel has the last byte of the request. */
     void requestSent() {
         if (requestWriter.streamsBody()) {
-            timeouts.bodyStreamed();
+            timeouts.bodyStreamed(requestWriter.maxResponseSeconds());
         }
         onSent.run();
     }
--- a/src/main/java/lemondrift/proxy/backend/CallTimeouts.java
+++ b/src/main/java/lemondrift/proxy/backend/CallTimeouts.java
@@ -75,10 +75,14 @@
         connectTimer.remove();
     }
 
-    /** Starts the time for the response, as the kernel has the last byte of a streamed body. */
-    void bodyStreamed() {
+    /**
+     * Starts the time for the response, as the kernel has the last byte of a streamed body.
+     *
+     * @param maxSeconds how long the response may take at the most
+     */
+    void bodyStreamed(double maxSeconds) {
         startedAt = clock.now();
-        responseTimer = startTimer(responseSeconds, onTimeout);
+        responseTimer = startTimer(Math.min(responseSeconds, maxSeconds), onTimeout);
     }
 
     /**
--- a/src/main/java/lemondrift/proxy/backend/RequestWriter.java
+++ b/src/main/java/lemondrift/proxy/backend/RequestWriter.java
@@ -37,6 +37,12 @@
      */
     private static final double STALLED_SHARE = 0.5;
 
+    /**
+     * Seconds before the client stops waiting at which the response to a streamed request times
+     * out. Guards against a backend that is not at fault because its attempt is cancelled first.
+     */
+    private static final double TIMEOUT_LEAD_SECONDS = 0.01;
+
     private final BackendCall call;
     private final XnioIoThread ioThread;
     private final MonotonicClock clock;
@@ -69,6 +75,11 @@
         return streamedBody != null;
     }
 
+    /** Returns how long the response to a streamed request may take from now on, in seconds. */
+    double maxResponseSeconds() {
+        return streamedBody.clientSecondsLeft() - TIMEOUT_LEAD_SECONDS;
+    }
+
     /** Returns whether the kernel has the last byte of the request, so that it may be executed. */
     boolean isSent() {
         return isHeadAndBodySent() && (streamedBody == null || isBodyStreamed);
--- a/src/main/java/lemondrift/proxy/client/RequestBody.java
+++ b/src/main/java/lemondrift/proxy/client/RequestBody.java
@@ -194,6 +194,11 @@
         return responseTimeoutSeconds;
     }
 
+    @Override
+    public double clientSecondsLeft() {
+        return deadline.secondsLeft();
+    }
+
     void setResponseTimeoutSeconds(double seconds) {
         responseTimeoutSeconds = seconds;
     }
--- a/src/main/java/lemondrift/proxy/client/UploadDeadline.java
+++ b/src/main/java/lemondrift/proxy/client/UploadDeadline.java
@@ -73,10 +73,15 @@
         awaitingClient = isAwaited;
     }
 
-    private void check() {
+    /** Returns how many seconds are left until the deadline, as far as it is known now. */
+    double secondsLeft() {
         double now = clock.now();
         double earliestEnd = awaitingClient ? now : progress.earliestEnd(receiveBufferBytes(), now);
-        double secondsLeft = earliestEnd + timeoutSeconds - now;
+        return earliestEnd + timeoutSeconds - now;
+    }
+
+    private void check() {
+        double secondsLeft = secondsLeft();
         if (secondsLeft > 0) {
             schedule(secondsLeft);
         } else {
--- a/src/main/java/lemondrift/proxy/events/StreamedRequestBody.java
+++ b/src/main/java/lemondrift/proxy/events/StreamedRequestBody.java
@@ -23,6 +23,12 @@
      */
     double responseTimeoutSeconds();
 
+    /**
+     * Returns how many seconds the client still waits for its response at the least; 0 or less if
+     * it may have stopped waiting.
+     */
+    double clientSecondsLeft();
+
     /** Sets the action that runs when the request ends. It replaces an action set before. */
     void onRelease(Runnable action);
 }
--- a/src/test/java/lemondrift/proxy/LongResponseShutdownTest.java
+++ b/src/test/java/lemondrift/proxy/LongResponseShutdownTest.java
@@ -30,7 +30,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Tests a proxy process at SIGTERM while clients take long responses. */
+/** Tests a proxy at SIGTERM, and when it is quiesced, while clients take long responses. */
 class LongResponseShutdownTest extends LoopbackFixture {
     /** Latency objective of both classes, in milliseconds. */
     private static final int LATENCY_OBJECTIVE_MILLIS = 300;
@@ -47,6 +47,9 @@
     /** Time that a process may take from its last response to its end, in milliseconds. */
     private static final int EXIT_MILLIS = 1500;
 
+    /** Time within which a connection closes after its last response, in milliseconds. */
+    private static final int CLOSE_TIMEOUT_MILLIS = 500;
+
     /** A response of 4 MB within 4 s. */
     private static final int PIECES = 80;
 
@@ -65,7 +68,9 @@
 
     @AfterEach
     void stopProcess() throws IOException {
-        child.destroyForcibly();
+        if (child != null) {
+            child.destroyForcibly();
+        }
         backend.close();
     }
 
@@ -166,6 +171,23 @@
         assertEndsWithin(EXIT_MILLIS);
     }
 
+    /**
+     * Guards against a quiesced proxy that keeps a connection open, because its long response began
+     * before and promised so.
+     */
+    @Test
+    void closesConnectionAfterLongResponseOfQuiescedProxy() throws Exception {
+        startWithPorts(backend.port());
+        port = proxyPort();
+        try (Socket client = startLongResponse("long")) {
+            proxy.runOnIoThread(() -> proxy.adminOperations().quiesce());
+            InputStream in = client.getInputStream();
+            assertArrayEquals(backend.body, in.readNBytes(backend.body.length));
+            client.setSoTimeout(CLOSE_TIMEOUT_MILLIS);
+            assertEquals(-1, in.read(), "the connection closes after the response");
+        }
+    }
+
     @Test
     void cutsLongResponseOffAtDrainTimeout() throws Exception {
         startProcess(Map.of("PROXY_DRAIN_TIMEOUT", "1.8"));
--- a/src/test/java/lemondrift/proxy/http/StalledUploadTest.java
+++ b/src/test/java/lemondrift/proxy/http/StalledUploadTest.java
@@ -4,6 +4,7 @@
 import static lemondrift.proxy.HttpMessages.postHead;
 import static lemondrift.proxy.HttpMessages.readMessage;
 import static lemondrift.proxy.HttpMessages.writeText;
+import static lemondrift.proxy.ScriptedServer.SILENCE;
 import static lemondrift.proxy.TestConfig.NOT_IDEMPOTENT_CLASS;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -50,6 +51,9 @@
      */
     private static final int WRITABLE_BODY_BYTES = 5_000_000;
 
+    /** Just longer than what is buffered, in bytes. */
+    private static final int SHORT_BODY_BYTES = 600_000;
+
     /** The forms of a request's framing. */
     private enum Framing {
         LENGTH,
@@ -189,6 +193,23 @@
         }
     }
 
+    /**
+     * Guards against a backend that is never at fault for long requests, because their attempts are
+     * cancelled when the client stops waiting.
+     */
+    @Test
+    void timesAttemptOutBeforeClientStopsWaiting() throws Exception {
+        byte[] body = randomBody(SHORT_BODY_BYTES);
+        start(backend(SILENCE));
+        try (Socket client = sendHead(Framing.LENGTH, body, CLIENT_TIMEOUT_MILLIS)) {
+            sendBody(client, Framing.LENGTH, body);
+            String response = readMessage(client);
+            assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+        }
+        String reasons = proxy.adminOperations().notServedJson();
+        assertTrue(reasons.contains("\"OVERDUE\":0"), reasons);
+    }
+
     /** Guards against executing a request whose client closed while its backend read nothing. */
     @Test
     void doesNotCompleteRequestOfClientThatClosedDuringThePause() throws Exception {
