--- a/review/9/HeldUp.java
+++ b/review/8/HeldUp.java
@@ -1,4 +1,4 @@
-package case9;
+package case8;
 
 import java.io.IOException;
 import java.nio.file.Path;
