--- a/review/common2/Case.java
+++ b/review/common2/Case.java
@@ -42,7 +42,10 @@
         }
     }
 
-    /** Runs a case: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+    /** The exit code if the rule was broken; not 1, with which a JVM ends that finds no class. */
+    private static final int BROKEN = 10;
+
+    /** Runs a case; ends with {@link #BROKEN}, 0 if the rule held, or 2 if it could not run. */
     public static void main(Path caseFolder, Body body) throws IOException {
         Case frame = new Case();
         Thread watchdog =
@@ -57,9 +60,9 @@
         int code;
         try {
             int broken = body.run(frame);
-            code = broken > 0 ? 1 : 0;
+            code = broken > 0 ? BROKEN : 0;
             frame.record("%s: broken %d times", broken > 0 ? "BROKEN" : "HELD", broken);
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             frame.record("could not run: %s", e);
             code = 2;
         }
