A failed eviction no longer hangs the proxy; tasks that fail again and again turn health to no

TaskMonitor runs each task that has to go on, counts its failures (GET /admin/tasks) and turns health to 503 after three within ten seconds. The decision thread, which ended at an error of gossip, goes on.

--- a/src/main/java/lemondrift/connection/ClientSource.java
+++ b/src/main/java/lemondrift/connection/ClientSource.java
@@ -14,11 +14,6 @@
     private double cost;
     private double decayedAt;
 
-    /** Head of the list of its connections that may be evicted, in the order of eviction. */
-    int firstCandidate = ConnectionTable.NONE;
-
-    int lastCandidate = ConnectionTable.NONE;
-
     private void decay(double now, double halfLifeSeconds) {
         double remainingShare = Math.pow(2, -Math.max(0, now - decayedAt) / halfLifeSeconds);
         credit *= remainingShare;
--- a/src/main/java/lemondrift/connection/ConnectionEviction.java
+++ b/src/main/java/lemondrift/connection/ConnectionEviction.java
@@ -16,26 +16,25 @@
 
     private final ConnectionLimits limits;
     private final ConnectionTable connections;
-    private final FairEviction fairEviction;
-    private final IntPredicate hasNoUnreadBytes;
+    private final IntPredicate closeUnlessUnread;
     private final IntConsumer close;
 
     /**
      * Creates the eviction for a table.
      *
-     * @param hasNoUnreadBytes returns whether no unread byte waits on a connection
+     * @param closeUnlessUnread closes a connection on which no unread byte waits; returns whether
+     *     it is closed
      * @param close closes a connection at once
      */
     ConnectionEviction(
             ConnectionLimits limits,
             ConnectionTable connections,
-            IntPredicate hasNoUnreadBytes,
+            IntPredicate closeUnlessUnread,
             IntConsumer close) {
         this.limits = limits;
         this.connections = connections;
-        this.hasNoUnreadBytes = hasNoUnreadBytes;
+        this.closeUnlessUnread = closeUnlessUnread;
         this.close = close;
-        fairEviction = new FairEviction(connections.capacity(), limits.halfLifeSeconds());
     }
 
     /** Closes connections until the limit is met or no candidate is left. */
@@ -43,23 +42,24 @@
         if (!connections.isOverLimit()) {
             return;
         }
-        addConnectionsWithoutFirstByte(now);
+        FairEviction eviction = new FairEviction(connections.capacity(), limits.halfLifeSeconds());
+        addConnectionsWithoutFirstByte(eviction, now);
         for (ConnectionState state : STATES_READING_REQUEST) {
-            addSlowFirstRequests(state, now);
+            addSlowFirstRequests(eviction, state, now);
         }
-        addIdleConnections();
-        fairEviction.evict(
+        addIdleConnections(eviction);
+        eviction.evict(
                 connections.openCount() - connections.maxConnections(),
                 now,
-                this::evictIfNoUnreadBytes);
+                this::evictUnlessUnread);
     }
 
-    private void addConnectionsWithoutFirstByte(double now) {
+    private void addConnectionsWithoutFirstByte(FairEviction eviction, double now) {
         for (int connection = connections.first(ConnectionState.NEW);
                 connection != ConnectionTable.NONE;
                 connection = connections.after(connection)) {
             if (ageSeconds(connection, now) > limits.evictionGraceSeconds()) {
-                addCandidate(connection);
+                eviction.addCandidate(connection, connections.sources[connection]);
             }
         }
     }
@@ -69,23 +69,23 @@
      * never end and that keep all other clients out. Connections that have had a response are not
      * added.
      */
-    private void addSlowFirstRequests(ConnectionState state, double now) {
+    private void addSlowFirstRequests(FairEviction eviction, ConnectionState state, double now) {
         for (int connection = connections.first(state);
                 connection != ConnectionTable.NONE;
                 connection = connections.after(connection)) {
             if (connections.responseCounts[connection] == 0
                     && ageSeconds(connection, now) > 2 * limits.evictionGraceSeconds()) {
-                addCandidate(connection);
+                eviction.addCandidate(connection, connections.sources[connection]);
             }
         }
     }
 
-    private void addIdleConnections() {
+    private void addIdleConnections(FairEviction eviction) {
         for (int connection = connections.first(ConnectionState.IDLE);
                 connection != ConnectionTable.NONE;
                 connection = connections.after(connection)) {
             if (!connections.keepAliveAnnounced[connection]) {
-                addCandidate(connection);
+                eviction.addCandidate(connection, connections.sources[connection]);
             }
         }
     }
@@ -94,23 +94,19 @@
         return now - connections.acceptedAt[connection];
     }
 
-    private void addCandidate(int connection) {
-        fairEviction.addCandidate(connection, connections.sources[connection]);
-    }
-
     /**
      * Closes a connection that has no unread bytes, or whose first request is incomplete; returns
-     * whether it did. Guards against losing a request that waits unread after a pause of the
+     * whether it is closed. Guards against losing a request that waits unread after a pause of the
      * process.
      */
-    private boolean evictIfNoUnreadBytes(int connection) {
+    private boolean evictUnlessUnread(int connection) {
         boolean isFirstRequest =
                 connections.responseCounts[connection] == 0
                         && !connections.isIn(connection, ConnectionState.NEW);
-        boolean evicts = isFirstRequest || hasNoUnreadBytes.test(connection);
-        if (evicts) {
-            close.accept(connection);
+        if (!isFirstRequest) {
+            return closeUnlessUnread.test(connection);
         }
-        return evicts;
+        close.accept(connection);
+        return true;
     }
 }
--- a/src/main/java/lemondrift/connection/ConnectionPolicy.java
+++ b/src/main/java/lemondrift/connection/ConnectionPolicy.java
@@ -12,7 +12,11 @@
 public final class ConnectionPolicy {
     /** The actions that the policy requests on the sockets. */
     public interface Actions {
-        /** Returns whether no unread byte waits on a connection; checks the socket. */
+        /**
+         * Returns whether no unread byte waits on a connection. Reads from the socket, which may
+         * find that the client has closed: the connection may be closed, and {@link
+         * ConnectionPolicy#closed} called, before this returns.
+         */
         boolean hasNoUnreadBytes(int connection);
 
         /**
@@ -78,7 +82,7 @@
                 new ConnectionEviction(
                         limits,
                         connections,
-                        actions::hasNoUnreadBytes,
+                        connection -> closeUnlessUnread(connection, CloseReason.EVICTED),
                         connection -> close(connection, CloseReason.EVICTED));
     }
 
@@ -369,26 +373,45 @@
     }
 
     /**
-     * Evicts connections above the limit. Must be called once after each batch of accepted
-     * connections.
+     * Closes a connection unless an unread byte waits on it. The check may find that the client has
+     * closed the connection.
+     *
+     * @return whether the connection is closed now
+     */
+    private boolean closeUnlessUnread(int connection, CloseReason reason) {
+        if (!actions.hasNoUnreadBytes(connection)) {
+            return false;
+        }
+        if (!connections.isIn(connection, ConnectionState.FREE)) {
+            close(connection, reason);
+        }
+        return true;
+    }
+
+    /**
+     * Evicts connections above the limit. Must be called after each batch of accepted connections
+     * and before each {@link #sweep}.
      */
     public void evictExcess(double now) {
         eviction.evictExcess(pauseClock.runningTime(now));
     }
 
     /**
-     * Closes overdue connections and evicts connections above the limit. Must be called at least
-     * once every {@link ConnectionLimits#sweepIntervalSeconds}.
+     * Closes overdue connections. Must be called at least once every {@link
+     * ConnectionLimits#sweepIntervalSeconds}.
      */
     public void sweep(double now) {
         double time = pauseClock.runningTime(now);
-        evictExcess(now);
         keepAlive.updateIdleLimits(time);
         for (int connection = 0; connection < connections.capacity(); connection++) {
             CloseReason reason = deadlines.reasonToClose(connection, time);
-            if (reason != null
-                    && (hasRequest(connection) || actions.hasNoUnreadBytes(connection))) {
+            if (reason == null) {
+                continue;
+            }
+            if (hasRequest(connection)) {
                 close(connection, reason);
+            } else {
+                closeUnlessUnread(connection, reason);
             }
         }
     }
--- a/src/main/java/lemondrift/connection/FairEviction.java
+++ b/src/main/java/lemondrift/connection/FairEviction.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.IntPredicate;
 
@@ -10,12 +12,37 @@
  * Chooses the connections to close when there are too many, by weighted max-min fairness over the
  * sources. Repeatedly closes a connection of the source with the most connections relative to its
  * weight, so that no source keeps a connection at the expense of a source with fewer connections
- * for its weight.
+ * for its weight. An instance serves one eviction, so that one that fails leaves nothing behind.
  */
 final class FairEviction {
+    /** The connections of one source that may be closed, in the order in which they were added. */
+    private static final class Candidates {
+        final ClientSource source;
+        final int order;
+        int first;
+        int last;
+
+        /** Set once: guards against a queue whose order changes while the source is queued. */
+        double weight;
+
+        double connectionsPerWeight;
+
+        Candidates(ClientSource source, int order, int first) {
+            this.source = source;
+            this.order = order;
+            this.first = first;
+            last = first;
+        }
+
+        void updateConnectionsPerWeight() {
+            connectionsPerWeight = source.connections / weight;
+        }
+    }
+
     private final int[] nextCandidate;
     private final double halfLifeSeconds;
-    private final List<ClientSource> sources = new ArrayList<>();
+    private final Map<ClientSource, Candidates> candidatesBySource = new HashMap<>();
+    private final List<Candidates> candidatesInOrder = new ArrayList<>();
 
     FairEviction(int capacity, double halfLifeSeconds) {
         nextCandidate = new int[capacity];
@@ -28,55 +55,45 @@
      */
     void addCandidate(int connection, ClientSource source) {
         nextCandidate[connection] = ConnectionTable.NONE;
-        if (source.firstCandidate == ConnectionTable.NONE) {
-            source.firstCandidate = connection;
-            sources.add(source);
+        Candidates candidates = candidatesBySource.get(source);
+        if (candidates == null) {
+            candidates = new Candidates(source, candidatesInOrder.size(), connection);
+            candidatesBySource.put(source, candidates);
+            candidatesInOrder.add(candidates);
         } else {
-            nextCandidate[source.lastCandidate] = connection;
+            nextCandidate[candidates.last] = connection;
+            candidates.last = connection;
         }
-        source.lastCandidate = connection;
     }
 
     /**
-     * Closes connections until the given number is reached or no candidate is left. Removes all
-     * candidates.
+     * Closes connections until the given number is reached or no candidate is left.
      *
      * @param excess how many connections to close
-     * @param close closes a connection, and returns whether it did
+     * @param close closes a connection, and returns whether it is closed
      */
     void evict(int excess, double now, IntPredicate close) {
-        // Guards against a corrupted queue order: the weight of a source must not change while it
-        // is queued.
-        record Usage(ClientSource source, int order, double weight, double connectionsPerWeight) {}
-        var usageQueue =
-                new PriorityQueue<Usage>(
-                        Comparator.comparing(Usage::connectionsPerWeight)
-                                .reversed()
-                                .thenComparing(Usage::order));
-        for (ClientSource source : sources) {
-            double weight = source.weight(now, halfLifeSeconds);
-            usageQueue.add(
-                    new Usage(source, usageQueue.size(), weight, source.connections / weight));
+        var queue =
+                new PriorityQueue<Candidates>(
+                        Comparator.<Candidates>comparingDouble(each -> -each.connectionsPerWeight)
+                                .thenComparingInt(each -> each.order));
+        for (Candidates candidates : candidatesInOrder) {
+            candidates.weight = candidates.source.weight(now, halfLifeSeconds);
+            candidates.updateConnectionsPerWeight();
+            queue.add(candidates);
         }
         int remaining = excess;
-        while (remaining > 0 && !usageQueue.isEmpty()) {
-            Usage usage = usageQueue.poll();
-            ClientSource source = usage.source;
-            int connection = source.firstCandidate;
-            source.firstCandidate = nextCandidate[connection];
+        while (remaining > 0 && !queue.isEmpty()) {
+            Candidates candidates = queue.poll();
+            int connection = candidates.first;
+            candidates.first = nextCandidate[connection];
             if (close.test(connection)) {
                 remaining--;
             }
-            if (source.firstCandidate != ConnectionTable.NONE) {
-                usageQueue.add(
-                        new Usage(
-                                source,
-                                usage.order,
-                                usage.weight,
-                                source.connections / usage.weight));
+            if (candidates.first != ConnectionTable.NONE) {
+                candidates.updateConnectionsPerWeight();
+                queue.add(candidates);
             }
         }
-        sources.forEach(source -> source.firstCandidate = ConnectionTable.NONE);
-        sources.clear();
     }
 }
--- a/src/main/java/lemondrift/proxy/OperatorControl.java
+++ b/src/main/java/lemondrift/proxy/OperatorControl.java
@@ -3,6 +3,7 @@
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.proxy.admin.AdminOperations;
 import lemondrift.proxy.client.ClientListener;
+import lemondrift.proxy.health.TaskMonitor;
 import lemondrift.proxy.loop.DecisionLoop;
 import lemondrift.proxy.time.MonotonicClock;
 import org.slf4j.Logger;
@@ -23,18 +24,21 @@
     private final ClientListener clientListener;
     private final DecisionLoop decisionLoop;
     private final ProxyMetrics metrics;
+    private final TaskMonitor tasks;
 
     OperatorControl(
             ProxyServer proxyServer,
             MonotonicClock clock,
             ClientListener clientListener,
             DecisionLoop decisionLoop,
-            ProxyMetrics metrics) {
+            ProxyMetrics metrics,
+            TaskMonitor tasks) {
         this.proxyServer = proxyServer;
         this.clock = clock;
         this.clientListener = clientListener;
         this.decisionLoop = decisionLoop;
         this.metrics = metrics;
+        this.tasks = tasks;
     }
 
     @Override
@@ -42,6 +46,11 @@
         return proxyServer.phase() == ProxyServer.Phase.SERVING;
     }
 
+    @Override
+    public boolean isHealthy() {
+        return isReady() && tasks.isHealthy();
+    }
+
     @Override
     public ProxyMetrics.Snapshot metrics() {
         return metrics.snapshot();
@@ -64,6 +73,11 @@
         return metrics.notServedJson();
     }
 
+    @Override
+    public String tasksJson() {
+        return tasks.json();
+    }
+
     @Override
     public boolean quiesce() {
         if (isReady() && !clientListener.isDraining()) {
--- a/src/main/java/lemondrift/proxy/ProxyServer.java
+++ b/src/main/java/lemondrift/proxy/ProxyServer.java
@@ -19,6 +19,7 @@
 import lemondrift.proxy.discovery.EndpointListBuilder;
 import lemondrift.proxy.discovery.EndpointListWatch;
 import lemondrift.proxy.gossip.GossipTransport;
+import lemondrift.proxy.health.TaskMonitor;
 import lemondrift.proxy.lifecycle.TakeoverLock;
 import lemondrift.proxy.loop.DecisionLoop;
 import lemondrift.proxy.recovery.RecoveryCoordinator;
@@ -59,6 +60,7 @@
 
     private final MonotonicClock clock = MonotonicClock.system();
     private final ProxyMetrics metrics = new ProxyMetrics();
+    private final TaskMonitor tasks = new TaskMonitor(clock);
     private final XnioWorker worker;
     private final DecisionLoop decisionLoop;
     private final ClientListener clientListener;
@@ -105,9 +107,7 @@
         XnioIoThread ioThread = worker.getIoThread();
         BackendConnector sockets =
                 (address, opened) -> ioThread.openStreamConnection(address, opened, NO_DELAY);
-        ByteBufferPool buffers =
-                new DefaultByteBufferPool(
-                        true, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_PER_THREAD);
+        ByteBufferPool buffers = createBufferPool();
         RequestClassIndex requestClasses =
                 new RequestClassIndex(
                         config.requestClassNames(), config.settings().requestClasses());
@@ -120,13 +120,21 @@
                         clock,
                         actions,
                         requestClasses,
-                        config.settings());
+                        config.settings(),
+                        tasks);
         if (config.shadowSettings() != null && connector == null) {
             decisionLoop.enableShadow(config.shadowSettings(), config.seed());
         }
         clientListener =
                 new ClientListener(
-                        config, requestClasses, clock, worker, buffers, decisionLoop, metrics);
+                        config,
+                        requestClasses,
+                        clock,
+                        worker,
+                        buffers,
+                        decisionLoop,
+                        metrics,
+                        tasks);
         endpointListWatch =
                 new EndpointListWatch(config, clock, ioThread, sockets, buffers, decisionLoop);
         backendClient =
@@ -138,35 +146,39 @@
                         buffers,
                         decisionLoop,
                         metrics,
+                        tasks,
                         clientListener::isClientWaiting);
         boolean gossipEnabled =
                 config.gossip() != null && connector == null && balancer.needsGossip();
-        gossipTransport = gossipEnabled ? new GossipTransport(config.gossip(), decisionLoop) : null;
-        if (gossipEnabled) {
-            enableGossip(config);
-        }
+        gossipTransport = gossipEnabled ? enableGossip(config) : null;
         actions.setTargets(
                 decisionLoop, clientListener, backendClient, endpointListWatch, gossipTransport);
         configReload =
                 new ConfigReload(config, clock, ioThread, decisionLoop, endpointListWatch, metrics);
         resourceSharing =
                 new ResourceSharing(
-                        worker, configReload, clientListener, backendClient, decisionLoop);
+                        worker, configReload, clientListener, backendClient, decisionLoop, tasks);
+    }
+
+    private static ByteBufferPool createBufferPool() {
+        return new DefaultByteBufferPool(
+                true, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_PER_THREAD);
     }
 
-    private void enableGossip(ProxyConfig config) {
+    private GossipTransport enableGossip(ProxyConfig config) {
         if (config.recovery() == null) {
             decisionLoop.enableGossip(config.gossip());
-            return;
+        } else {
+            decisionLoop.enableGossip(
+                    config.gossip(),
+                    new RecoveryCoordinator(
+                            config.recovery(),
+                            config.name(),
+                            config.gossip().self(),
+                            config.gossip().proxies().size(),
+                            clock.now()));
         }
-        decisionLoop.enableGossip(
-                config.gossip(),
-                new RecoveryCoordinator(
-                        config.recovery(),
-                        config.name(),
-                        config.gossip().self(),
-                        config.gossip().proxies().size(),
-                        clock.now()));
+        return new GossipTransport(config.gossip(), decisionLoop, tasks);
     }
 
     /**
@@ -243,7 +255,7 @@
 
     /** Returns the operations of the admin address. They must be called on the I/O thread. */
     public AdminOperations adminOperations() {
-        return new OperatorControl(this, clock, clientListener, decisionLoop, metrics);
+        return new OperatorControl(this, clock, clientListener, decisionLoop, metrics, tasks);
     }
 
     /**
--- a/src/main/java/lemondrift/proxy/ResourceSharing.java
+++ b/src/main/java/lemondrift/proxy/ResourceSharing.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.TimeUnit;
 import lemondrift.proxy.backend.BackendClient;
 import lemondrift.proxy.client.ClientListener;
+import lemondrift.proxy.health.TaskMonitor;
+import lemondrift.proxy.health.TaskMonitor.Task;
 import lemondrift.proxy.lifecycle.TakeoverLock;
 import lemondrift.proxy.loop.DecisionLoop;
 import org.xnio.XnioWorker;
@@ -20,27 +22,31 @@
     private final ClientListener clientListener;
     private final BackendClient backendClient;
     private final DecisionLoop decisionLoop;
+    private final TaskMonitor tasks;
 
     ResourceSharing(
             XnioWorker worker,
             ConfigReload configReload,
             ClientListener clientListener,
             BackendClient backendClient,
-            DecisionLoop decisionLoop) {
+            DecisionLoop decisionLoop,
+            TaskMonitor tasks) {
         this.worker = worker;
         this.configReload = configReload;
         this.clientListener = clientListener;
         this.backendClient = backendClient;
         this.decisionLoop = decisionLoop;
+        this.tasks = tasks;
     }
 
     /** Polls at once and then periodically until the worker shuts down. */
     void watch(TakeoverLock takeoverLock) {
         takeoverLock.refresh();
         setProcessCount(takeoverLock.processCount());
+        Runnable poll = tasks.monitored(Task.RESOURCE_SHARING, () -> poll(takeoverLock));
         worker.getIoThread()
                 .executeAtInterval(
-                        () -> worker.execute(() -> poll(takeoverLock)),
+                        () -> worker.execute(poll),
                         (long) (POLL_INTERVAL_SECONDS * 1e9),
                         TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/lemondrift/proxy/admin/AdminOperations.java
+++ b/src/main/java/lemondrift/proxy/admin/AdminOperations.java
@@ -10,6 +10,9 @@
      */
     boolean isReady();
 
+    /** Returns whether the process is ready and none of its tasks fails again and again. */
+    boolean isHealthy();
+
     /** Returns the current metrics. */
     ProxyMetrics.Snapshot metrics();
 
@@ -22,6 +25,9 @@
     /** Returns the metrics of the decision loop as JSON. */
     String loopJson();
 
+    /** Returns how many times each task that has to go on has failed, as JSON. */
+    String tasksJson();
+
     /** Returns the number of rejected or failed requests by reason, as JSON. */
     String notServedJson();
 
--- a/src/main/java/lemondrift/proxy/admin/AdminServer.java
+++ b/src/main/java/lemondrift/proxy/admin/AdminServer.java
@@ -54,6 +54,7 @@
     private static final String STATS = "/admin/stats";
     private static final String RECOVERY = "/admin/recovery";
     private static final String LOOP = "/admin/loop";
+    private static final String TASKS = "/admin/tasks";
     private static final String NOT_SERVED = "/admin/not-served";
     private static final String QUIESCE = "/admin/quiesce";
     private static final String RESUME = "/admin/resume";
@@ -155,7 +156,7 @@
     /** Returns the HTTP method of the call at a path, or null if there is no such call. */
     private static HttpString allowedMethod(String path) {
         return switch (path) {
-            case HEALTH, STATS, RECOVERY, LOOP, NOT_SERVED -> Methods.GET;
+            case HEALTH, STATS, RECOVERY, LOOP, TASKS, NOT_SERVED -> Methods.GET;
             case QUIESCE, RESUME -> Methods.PUT;
             default -> null;
         };
@@ -173,9 +174,10 @@
             case RECOVERY ->
                     sendJson(exchange, operations == null ? null : operations.recoveryJson());
             case LOOP -> sendJson(exchange, operations == null ? null : operations.loopJson());
+            case TASKS -> sendJson(exchange, operations == null ? null : operations.tasksJson());
             case NOT_SERVED ->
                     sendJson(exchange, operations == null ? null : operations.notServedJson());
-            case HEALTH -> sendSuccess(exchange, operations != null && operations.isReady());
+            case HEALTH -> sendSuccess(exchange, operations != null && operations.isHealthy());
             case QUIESCE -> sendSuccess(exchange, operations != null && operations.quiesce());
             default -> sendSuccess(exchange, operations != null && operations.resume());
         }
--- a/src/main/java/lemondrift/proxy/backend/BackendClient.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendClient.java
@@ -15,6 +15,8 @@
 import lemondrift.proxy.events.DecisionEvents;
 import lemondrift.proxy.events.PendingRequest;
 import lemondrift.proxy.events.StreamedRequestBody;
+import lemondrift.proxy.health.TaskMonitor;
+import lemondrift.proxy.health.TaskMonitor.Task;
 import lemondrift.proxy.time.Durations;
 import lemondrift.proxy.time.MonotonicClock;
 import org.slf4j.Logger;
@@ -83,6 +85,7 @@
             ByteBufferPool bufferPool,
             DecisionEvents decisionEvents,
             ProxyMetrics metrics,
+            TaskMonitor tasks,
             Predicate<PendingRequest> isClientWaiting) {
         this.isClientWaiting = isClientWaiting;
         this.config = config;
@@ -98,7 +101,8 @@
         double maxIdleSeconds = MAX_IDLE_SHARE * config.backendIdleSeconds();
         idleSweep =
                 ioThread.executeAtInterval(
-                        () -> closeIdle(maxIdleSeconds),
+                        tasks.monitored(
+                                Task.BACKEND_CONNECTION_SWEEP, () -> closeIdle(maxIdleSeconds)),
                         Durations.toNanos(maxIdleSeconds / SWEEPS_PER_MAX_IDLE_TIME),
                         TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -17,6 +17,8 @@
 import lemondrift.connection.ConnectionState;
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.model.Request;
+import lemondrift.proxy.health.TaskMonitor;
+import lemondrift.proxy.health.TaskMonitor.Task;
 import lemondrift.proxy.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,6 +48,7 @@
 
     private final MonotonicClock clock;
     private final XnioIoThread ioThread;
+    private final TaskMonitor tasks;
     private final ConnectionPolicy policy;
     private final ClientConnection.Context context;
     private final double sweepIntervalSeconds;
@@ -65,6 +68,7 @@
     ClientConnections(
             MonotonicClock clock,
             XnioIoThread ioThread,
+            TaskMonitor tasks,
             ConnectionLimits limits,
             long seed,
             ProxyMetrics metrics,
@@ -72,6 +76,7 @@
             Consumer<Request> onClientClosed) {
         this.clock = clock;
         this.ioThread = ioThread;
+        this.tasks = tasks;
         this.onClientClosed = onClientClosed;
         policy = new ConnectionPolicy(limits, this, seed);
         context =
@@ -81,7 +86,7 @@
         maxConnections = limits.maxConnections();
         byIndex = new ClientConnection[policy.capacity()];
         // Loads classes now: guards against loading them when no descriptors are left, which fails.
-        policy.sweep(clock.now());
+        sweep();
         sweepEvery(sweepIntervalSeconds);
     }
 
@@ -206,15 +211,16 @@
 
     private void evictExcess() {
         evictionQueued = false;
-        policy.evictExcess(clock.now());
+        tasks.run(Task.CONNECTION_EVICTION, () -> policy.evictExcess(clock.now()));
         logOverLimit();
     }
 
+    /** Runs each task whether or not the ones before it fail. */
     private void sweep() {
         if (!stopped) {
-            policy.sweep(clock.now());
-            endOverdue(clock.now());
-            logOverLimit();
+            evictExcess();
+            tasks.run(Task.CONNECTION_SWEEP, () -> policy.sweep(clock.now()));
+            tasks.run(Task.OVERDUE_REQUESTS, () -> endOverdue(clock.now()));
         }
     }
 
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -15,6 +15,7 @@
 import lemondrift.proxy.events.BackendResponse;
 import lemondrift.proxy.events.DecisionEvents;
 import lemondrift.proxy.events.PendingRequest;
+import lemondrift.proxy.health.TaskMonitor;
 import lemondrift.proxy.http.HttpFieldRules;
 import lemondrift.proxy.time.MonotonicClock;
 import lemondrift.settings.RequestClassIndex;
@@ -67,7 +68,8 @@
             XnioWorker worker,
             ByteBufferPool bufferPool,
             DecisionEvents decisionEvents,
-            ProxyMetrics metrics) {
+            ProxyMetrics metrics,
+            TaskMonitor tasks) {
         this.config = config;
         this.worker = worker;
         this.metrics = metrics;
@@ -84,6 +86,7 @@
                 new ClientConnections(
                         clock,
                         worker.getIoThread(),
+                        tasks,
                         config.connectionLimits(),
                         config.seed(),
                         metrics,
--- a/src/main/java/lemondrift/proxy/gossip/GossipTransport.java
+++ b/src/main/java/lemondrift/proxy/gossip/GossipTransport.java
@@ -9,6 +9,8 @@
 import lemondrift.gossip.LoadGossip;
 import lemondrift.proxy.config.GossipSettings;
 import lemondrift.proxy.events.DecisionEvents;
+import lemondrift.proxy.health.TaskMonitor;
+import lemondrift.proxy.health.TaskMonitor.Task;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -28,6 +30,7 @@
 
     private final GossipSettings settings;
     private final DecisionEvents decisionEvents;
+    private final TaskMonitor tasks;
 
     /** The numbers of the proxies, by address. */
     private final Map<SocketAddress, Integer> proxyNumbers = new HashMap<>();
@@ -46,8 +49,10 @@
     private boolean failureLogged;
 
     /** Creates a transport that passes received datagrams to the decision loop. */
-    public GossipTransport(GossipSettings settings, DecisionEvents decisionEvents) {
+    public GossipTransport(
+            GossipSettings settings, DecisionEvents decisionEvents, TaskMonitor tasks) {
         this.settings = settings;
+        this.tasks = tasks;
         this.decisionEvents = decisionEvents;
         for (int proxy = 0; proxy < settings.proxies().size(); proxy++) {
             proxyNumbers.put(settings.proxies().get(proxy), proxy);
@@ -73,12 +78,16 @@
 
     /**
      * Reads all datagrams that have arrived; also called before each request. Datagrams that come
-     * from an unknown address or are too long are dropped.
+     * from an unknown address or are too long are dropped. Throws nothing, so that an error here
+     * fails no request.
      */
     public void receive() {
-        if (channel == null) {
-            return;
+        if (channel != null) {
+            tasks.run(Task.GOSSIP_RECEIVE, this::receiveAll);
         }
+    }
+
+    private void receiveAll() {
         try {
             for (int length = channel.receiveFrom(sender, receiveBuffer.clear());
                     length > 0;
@@ -90,9 +99,7 @@
                     decisionEvents.datagramReceived(from, datagram);
                 }
             }
-        } catch (IOException | RuntimeException e) {
-            // Catches every exception: this runs before each request, and an error here must not
-            // fail the request.
+        } catch (IOException e) {
             logFirstFailure(e);
         }
     }
--- a/src/main/java/lemondrift/proxy/loop/DecisionLoop.java
+++ b/src/main/java/lemondrift/proxy/loop/DecisionLoop.java
@@ -16,6 +16,7 @@
 import lemondrift.proxy.events.EndpointList;
 import lemondrift.proxy.events.PendingRequest;
 import lemondrift.proxy.events.ProxyActions;
+import lemondrift.proxy.health.TaskMonitor;
 import lemondrift.proxy.recovery.RecoveryCoordinator;
 import lemondrift.proxy.time.MonotonicClock;
 import lemondrift.settings.RequestClassIndex;
@@ -48,7 +49,8 @@
             MonotonicClock clock,
             ProxyActions actions,
             RequestClassIndex requestClasses,
-            Settings settings) {
+            Settings settings,
+            TaskMonitor tasks) {
         this.actions = actions;
         this.directory = directory;
         peers = new PeerExchange(balancer, directory, clock, actions);
@@ -78,7 +80,8 @@
                         eventHandler,
                         endpointLists,
                         shedThresholds,
-                        activeSettings);
+                        activeSettings,
+                        tasks);
     }
 
     /**
--- a/src/main/java/lemondrift/proxy/loop/EventLoop.java
+++ b/src/main/java/lemondrift/proxy/loop/EventLoop.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import lemondrift.metrics.EventLoopMetrics;
 import lemondrift.proxy.events.ProxyActions;
+import lemondrift.proxy.health.TaskMonitor;
+import lemondrift.proxy.health.TaskMonitor.Task;
 import lemondrift.proxy.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +39,12 @@
      */
     private static final double SLICE_INTERVAL_SECONDS = 0.001;
 
+    /**
+     * Shortest wait for an event after an iteration failed, in seconds. Guards against a loop that
+     * uses up the CPU because what failed is due again at once.
+     */
+    private static final double WAIT_AFTER_FAILURE_SECONDS = 0.01;
+
     private final BlockingQueue<Event> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final Thread thread = new Thread(this::run, "decisions");
     private final EventLoopMetrics loopMetrics = new EventLoopMetrics();
@@ -49,7 +57,9 @@
     private final EndpointListApplier endpointLists;
     private final ShedThresholds shedThresholds;
     private final ActiveSettings activeSettings;
+    private final TaskMonitor tasks;
     private double iterationStartedAt;
+    private boolean lastIterationFailed;
 
     EventLoop(
             MonotonicClock clock,
@@ -60,7 +70,8 @@
             EventHandler eventHandler,
             EndpointListApplier endpointLists,
             ShedThresholds shedThresholds,
-            ActiveSettings activeSettings) {
+            ActiveSettings activeSettings,
+            TaskMonitor tasks) {
         this.clock = clock;
         this.actions = actions;
         this.peers = peers;
@@ -70,6 +81,7 @@
         this.endpointLists = endpointLists;
         this.shedThresholds = shedThresholds;
         this.activeSettings = activeSettings;
+        this.tasks = tasks;
         thread.setDaemon(true);
     }
 
@@ -120,17 +132,26 @@
         double maxWaitSeconds =
                 endpointLists.hasPending() ? SLICE_INTERVAL_SECONDS : MAX_WAIT_SECONDS;
         double waitSeconds = Math.min(maxWaitSeconds, wakeAt - clock.now());
-        return (long) (Math.max(0, waitSeconds) * 1e9);
+        double minWaitSeconds = lastIterationFailed ? WAIT_AFTER_FAILURE_SECONDS : 0;
+        return (long) (Math.max(minWaitSeconds, waitSeconds) * 1e9);
     }
 
     /**
-     * Runs one iteration.
+     * Runs one iteration, each part of it whether or not the ones before it fail.
      *
      * @param firstEvent null if no event arrived in time
      */
     private void iterate(Event firstEvent) {
         iterationStartedAt = clock.now();
-        peers.processReceived();
+        boolean processed = tasks.run(Task.GOSSIP_PROCESS, peers::processReceived);
+        boolean decided = tasks.run(Task.DECISIONS, () -> decide(firstEvent));
+        boolean sent = tasks.run(Task.GOSSIP_SEND, peers::sendDueMessages);
+        boolean flushed = tasks.run(Task.ACTIONS, actions::flush);
+        lastIterationFailed = !(processed && decided && sent && flushed);
+        recordIteration(clock.now());
+    }
+
+    private void decide(Event firstEvent) {
         handleBatch(firstEvent);
         if (executor.wakeAt() <= clock.now()) {
             handle(
@@ -155,9 +176,6 @@
         if (arrivedCount > 0) {
             actions.requestsDecided(arrivedCount, clock.now() - iterationStartedAt);
         }
-        peers.sendDueMessages();
-        actions.flush();
-        recordIteration(clock.now());
     }
 
     /**
--- a/src/test/java/lemondrift/LayersTest.java
+++ b/src/test/java/lemondrift/LayersTest.java
@@ -38,16 +38,17 @@
                     Map.entry("http", ""),
                     Map.entry("logging", ""),
                     Map.entry("admin", ""),
+                    Map.entry("health", "time"),
                     Map.entry("config", "http"),
                     Map.entry("recovery", "config"),
                     Map.entry("events", "http"),
-                    Map.entry("client", "config events http logging time"),
-                    Map.entry("backend", "config events http time"),
+                    Map.entry("client", "config events health http logging time"),
+                    Map.entry("backend", "config events health http time"),
                     // Calls to discovery are made over the same connection pools as calls to
                     // backends.
                     Map.entry("discovery", "backend config events time"),
-                    Map.entry("gossip", "config discovery events"),
-                    Map.entry("loop", "config discovery events gossip recovery time"));
+                    Map.entry("gossip", "config discovery events health"),
+                    Map.entry("loop", "config discovery events gossip health recovery time"));
 
     private final JavaClasses productionClasses =
             new ClassFileImporter()
--- a/src/test/java/lemondrift/connection/ConnectionPolicyModel.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyModel.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -28,6 +29,10 @@
         ConnectionState state = ConnectionState.NEW;
         final List<Double> byteTimes = new ArrayList<>();
         boolean hasUnreadBytes;
+
+        /** Whether the client has closed the connection and nobody has read the close yet. */
+        boolean hasUnreadClose;
+
         boolean wasAnswered;
         CloseReason closeReason;
 
@@ -44,10 +49,13 @@
     final List<Client> closed = new ArrayList<>();
     double now = 1000;
 
+    /** Whether the next close fails with an exception and changes nothing. */
+    boolean failsNextClose;
+
     ConnectionPolicyModel(ConnectionLimits limits) {
         this.limits = limits;
         policy = new ConnectionPolicy(limits, this, 7);
-        policy.sweep(now);
+        sweep();
     }
 
     /** Returns a model in which each connection is its own source. */
@@ -76,12 +84,20 @@
             sendBytes(connection, 1);
             return false;
         }
+        if (client.hasUnreadClose) {
+            disconnect(connection);
+        }
         return true;
     }
 
     @Override
     public void close(int connection, CloseReason reason) {
+        if (failsNextClose) {
+            failsNextClose = false;
+            throw new IllegalStateException("this close fails");
+        }
         Client client = clients.get(connection);
+        assertNotNull(client, "closed a connection that is already closed");
         assertNotEquals(
                 ConnectionState.AWAITING_RESPONSE, client.state, "closed with an open request");
         assertFalse(
@@ -149,15 +165,20 @@
         closed.add(clients.remove(connection));
     }
 
+    private void sweep() {
+        policy.evictExcess(now);
+        policy.sweep(now);
+    }
+
     /** Advances the time, with a sweep at each sweep interval and at the end. */
     void advance(double seconds) {
         double end = now + seconds;
         while (now + limits.sweepIntervalSeconds() < end) {
             now += limits.sweepIntervalSeconds();
-            policy.sweep(now);
+            sweep();
         }
         now = end;
-        policy.sweep(now);
+        sweep();
     }
 
     /**
--- a/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
+++ b/src/test/java/lemondrift/connection/ConnectionPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -58,7 +59,8 @@
                 }
                 case 6 -> {
                     if (state == ConnectionState.NEW || state == ConnectionState.IDLE) {
-                        model.clients.get(connection).hasUnreadBytes = true;
+                        model.clients.get(connection).hasUnreadClose = step / 10 % 4 == 0;
+                        model.clients.get(connection).hasUnreadBytes = step / 10 % 4 != 0;
                     } else if (state != ConnectionState.FREE) {
                         model.disconnect(connection);
                     }
@@ -263,6 +265,43 @@
         assertTrue(model.clients.containsKey(fast), "2.2 KiB per second is above the minimum rate");
     }
 
+    /**
+     * Guards against an eviction and a sweep that fail because the check for unread bytes finds
+     * that the client has closed the connection, and closes it.
+     */
+    @Test
+    void connectionsThatTheCheckForUnreadBytesFindsClosedAreNotClosedAgain() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(20);
+        for (int i = 0; i < 4; i++) {
+            int connection = model.accept();
+            model.exchange(connection);
+            model.clients.get(connection).hasUnreadClose = true;
+        }
+        int waiting = model.accept();
+        model.sendRequest(waiting, 0);
+        model.policy.setMaxConnections(3);
+        model.policy.evictExcess(model.now);
+        assertEquals(3, model.clients.size(), "a connection found closed counts as evicted");
+        assertEquals(0, model.closedCount(CloseReason.values()), "closed by their clients");
+        model.advance(3);
+        assertEquals(Set.of(waiting), model.clients.keySet(), "the sweep goes on as well");
+    }
+
+    /** Guards against an eviction that fails once and from then on at each call. */
+    @Test
+    void evictionWorksAfterOneThatFailed() {
+        ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(20);
+        for (int i = 0; i < 6; i++) {
+            model.exchange(model.accept());
+        }
+        model.policy.setMaxConnections(2);
+        model.failsNextClose = true;
+        assertThrows(IllegalStateException.class, () -> model.policy.evictExcess(model.now));
+        assertEquals(6, model.clients.size());
+        model.policy.evictExcess(model.now);
+        assertEquals(2, model.clients.size());
+    }
+
     @Test
     void idleConnectionsAreEvictedWhenTheLimitIsLowered() {
         ConnectionPolicyModel model = ConnectionPolicyModel.withSourcePerConnection(20);
--- a/src/test/java/lemondrift/connection/KeepAliveSimulation.java
+++ b/src/test/java/lemondrift/connection/KeepAliveSimulation.java
@@ -173,6 +173,7 @@
     private void sweepUntil(double instant) {
         while (nextSweepAt < instant) {
             model.now = nextSweepAt;
+            model.policy.evictExcess(model.now);
             model.policy.sweep(model.now);
             connectionsSum += model.clients.size();
             sweeps++;
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -96,6 +96,12 @@
     /** Milliseconds for which a request that is accepted late in a drain stays incomplete. */
     private static final int LATE_IN_DRAIN_MILLIS = 900;
 
+    /** How many connections are open to be evicted. */
+    private static final int CLOSING_CLIENTS = 300;
+
+    /** Milliseconds between two sweeps of the client connections. */
+    private static final int SWEEP_INTERVAL_MILLIS = 200;
+
     private boolean mayCancel = true;
     private int latencyObjectiveMillis = LATENCY_OBJECTIVE_MILLIS;
     private int timeoutMillis = TIMEOUT_MILLIS;
@@ -447,6 +453,46 @@
         assertTrue(backend.requests.isEmpty(), "sent although the client had left");
     }
 
+    /**
+     * Guards against a proxy that accepts and answers nobody any more, because an eviction failed
+     * on connections whose clients had closed them unnoticed.
+     */
+    @Test
+    void servesAfterEvictingConnectionsThatClientsHaveClosedUnnoticed() throws Exception {
+        start(backend(OK));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < CLOSING_CLIENTS; i++) {
+            Socket client = connectClient();
+            clients.add(client);
+            String request = getRequestWithLongTimeout("closing-" + i);
+            writeText(client, request.replace("Host: a\r\n", "Host: a\r\nConnection: close\r\n"));
+            assertResponseStartsWith("HTTP/1.1 200", client);
+            assertEquals(-1, client.getInputStream().read(), "the proxy has shut down its side");
+        }
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch clientsLeft = new CountDownLatch(1);
+        proxy.runOnIoThread(
+                () -> {
+                    blocked.countDown();
+                    awaitLatch(clientsLeft);
+                });
+        awaitLatch(blocked);
+        closeAll(clients);
+        // Lowers the limit below the number of open connections. The next sweep, which is due by
+        // then, runs before anything is read.
+        proxy.setProcessCount(CLOSING_CLIENTS);
+        Thread.sleep(2 * SWEEP_INTERVAL_MILLIS);
+        clientsLeft.countDown();
+        awaitQueuedTasks();
+        proxy.setProcessCount(1);
+        assertEquals(200, sendIdempotent().statusCode());
+        String taskCounts = proxy.adminOperations().tasksJson();
+        assertFalse(taskCounts.matches(".*:[1-9].*"), taskCounts);
+        try (Socket silent = connectClient()) {
+            assertEquals(-1, silent.getInputStream().read(), "connections still time out");
+        }
+    }
+
     /** Guards against a backend that works past the deadline by the duration of the handshake. */
     @Test
     void sendsRemainingTimeWhenConnectionOpensLate() throws Exception {
--- a/src/test/java/lemondrift/proxy/admin/AdminCompatibilityTest.java
+++ b/src/test/java/lemondrift/proxy/admin/AdminCompatibilityTest.java
@@ -32,6 +32,16 @@
             return true;
         }
 
+        @Override
+        public boolean isHealthy() {
+            return true;
+        }
+
+        @Override
+        public String tasksJson() {
+            return "{}";
+        }
+
         @Override
         public ProxyMetrics.Snapshot metrics() {
             ProxyMetrics metrics = new ProxyMetrics();
--- a/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
+++ b/src/test/java/lemondrift/proxy/loop/DecisionLoopTest.java
@@ -29,6 +29,7 @@
 import lemondrift.proxy.events.EndpointList;
 import lemondrift.proxy.events.PendingRequest;
 import lemondrift.proxy.events.ProxyActions;
+import lemondrift.proxy.health.TaskMonitor;
 import lemondrift.settings.RequestClassIndex;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -79,10 +80,12 @@
     private final LinkedBlockingQueue<Attempt> sentAttempts = new LinkedBlockingQueue<>();
     private volatile double now = 1000;
     private volatile boolean sendFails;
+    private volatile boolean gossipFails;
 
     /** By how many seconds the clock advances when the next pool is retired. */
     private volatile double retireSeconds;
 
+    private final TaskMonitor tasks = new TaskMonitor(() -> now);
     private final DecisionLoop decisionLoop =
             new DecisionLoop(
                     new LoadBalancer(SETTINGS, 7),
@@ -90,7 +93,8 @@
                     () -> now,
                     this,
                     new RequestClassIndex(List.of("order", "look"), SETTINGS.requestClasses()),
-                    SETTINGS);
+                    SETTINGS,
+                    tasks);
 
     private static RequestClass requestClass(Idempotency idempotency) {
         return new RequestClass(1, 0, 1, 2, idempotency, DeduplicationScope.ALL, 0);
@@ -205,6 +209,24 @@
         assertEquals("delivered 1", nextAction());
     }
 
+    /** Guards against an error of gossip that ends the thread that decides about all requests. */
+    @Test
+    void decidesWhileGossipFails() throws Exception {
+        gossipFails = true;
+        InetSocketAddress anyAddress = InetSocketAddress.createUnresolved("p", 1);
+        decisionLoop.enableGossip(
+                new GossipSettings(null, List.of(anyAddress, anyAddress), 1, 0, 1, 12));
+        decisionLoop.start();
+        receiveList("active");
+        assertNotNull(receiveRequestAndAwaitAttempt(1));
+        for (int failure = 0; failure < 3; failure++) {
+            now++;
+            assertNotNull(nextGossipDatagram(), "messages are due each second");
+            assertNotNull(receiveRequestAndAwaitAttempt(2 + failure));
+        }
+        assertTrue(tasks.json().matches(".*\"GOSSIP_SEND\":[1-9].*"), tasks.json());
+    }
+
     @Test
     void answersRequestOnceAndDiscardsLateResponses() throws Exception {
         decisionLoop.start();
@@ -356,6 +378,10 @@
 
     @Override
     public void sendGossip(LoadGossip.Message message) {
+        if (gossipFails) {
+            gossipDatagrams.add(message.datagram());
+            throw new IllegalStateException("gossip fails");
+        }
         gossipDatagrams.add(message.datagram());
     }
 
