A long response that breaks off no longer passes for a whole one where its connection closes

Cause: where the connection closes with a response of unknown length, Undertow marks the end of the body by that of the connection, and a broken-off response closes it too.

Such a response is chunked to HTTP/1.1 whether or not the connection stays open. To HTTP/1.0 the socket resets on any close (SO_LINGER 0) until the response has been sent, so that slow readers, a drain's end and the end of the process are covered as well.

--- a/src/main/java/lemondrift/proxy/client/ClientConnection.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnection.java
@@ -11,6 +11,9 @@
 import lemondrift.metrics.ProxyMetrics;
 import lemondrift.model.Request;
 import lemondrift.proxy.time.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.AbstractStreamSourceConduit;
@@ -26,6 +29,8 @@
     private static final AttachmentKey<ClientConnection> CONNECTION =
             AttachmentKey.create(ClientConnection.class);
 
+    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
+
     /** The priority weight if no request has been read completely. */
     private static final double NO_REQUEST = -1;
 
@@ -70,6 +75,9 @@
 
     private boolean closed;
 
+    /** Whether the connection ends with a reset. */
+    private boolean resetsOnClose;
+
     /** Whether the reply to the current request was counted. */
     private boolean replyCounted;
 
@@ -290,8 +298,29 @@
         return closed ? 0 : policy.startReadPause(index, clock.now());
     }
 
+    /**
+     * Lets the connection end with a reset from now on, whoever closes it, until the response has
+     * been sent. For a response that has no other mark of its end than that of the connection.
+     */
+    void resetUnlessResponseSent() {
+        setReset(true);
+    }
+
+    private void setReset(boolean resets) {
+        resetsOnClose = resets;
+        try {
+            socket.setOption(Options.CLOSE_ABORT, resets);
+        } catch (IOException e) {
+            // The socket is closed.
+            LOG.debug("reset of a connection not changed", e);
+        }
+    }
+
     /** Reports that the response has been sent, and closes the open request. */
     void responseSent() {
+        if (resetsOnClose) {
+            setReset(false);
+        }
         if (!closed) {
             policy.responseSent(index, priorityWeight, clock.now());
         }
--- a/src/main/java/lemondrift/proxy/client/ResponseWriter.java
+++ b/src/main/java/lemondrift/proxy/client/ResponseWriter.java
@@ -234,9 +234,7 @@
             response.remainder().abandonResponse();
             return;
         }
-        if (response.remainder().declaredLength() >= 0) {
-            exchange.setResponseContentLength(response.remainder().declaredLength());
-        }
+        frame(exchange, response.remainder().declaredLength());
         BodyRelay relay =
                 new BodyRelay(
                         new LongResponseBody(response),
@@ -257,6 +255,24 @@
         relay.run();
     }
 
+    /**
+     * Chooses how the client is told where a long response ends. The end of the connection alone
+     * must not tell it, as a response that breaks off ends its connection, too.
+     *
+     * @param declaredBytes the length of the body; negative if it is not known
+     */
+    private static void frame(HttpServerExchange exchange, int declaredBytes) {
+        if (declaredBytes >= 0) {
+            exchange.setResponseContentLength(declaredBytes);
+        } else if (exchange.isHttp11()) {
+            // Undertow does so by itself only where the connection stays open.
+            exchange.getResponseHeaders()
+                    .put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        } else {
+            ClientConnection.of(exchange).resetUnlessResponseSent();
+        }
+    }
+
     private void relayEnded(
             HttpServerExchange exchange, BackendResponse response, boolean complete) {
         if (complete) {
@@ -264,7 +280,7 @@
             exchange.endExchange();
         } else {
             // The client detects that the body is incomplete: bytes of its length or the last
-            // chunk are missing.
+            // chunk are missing, or the connection is reset.
             response.remainder().abandonResponse();
             count(exchange, ProxyMetrics.Reply.ERROR);
             IoUtils.safeClose(ClientConnection.socketOf(exchange));
