Clients that left behind much that they sent ahead are noticed; their ids stay in use

Cause, by a run that logged each read and attempt: reading ahead ended at 256 KiB, or at 1/48 of the memory for all, the close stood behind that, and "not known" counted as "the client waits".

Beyond the budget all bytes ahead are dropped and the connection closes in order after its response, so that the close is always reached. The id of a request whose client left while a backend may have run it stays in use for 10 s, unless its class bears a repeat.

--- a/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
+++ b/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 import lemondrift.buffer.BodyBufferBudget;
 import lemondrift.proxy.events.PendingRequest;
 import org.xnio.IoUtils;
@@ -12,33 +13,80 @@
 
 /**
  * Detects that a client closes its connection while it waits for a response, when Undertow reads
- * nothing. Bytes that the client sends ahead of the response are read, as many as their budget
- * allows, and kept for Undertow. A close behind more bytes than that is not noticed.
+ * nothing. A close can be read only behind all bytes that the client sent ahead of the response.
+ * They are kept for Undertow as long as their budget allows. Beyond that all of them are dropped,
+ * and the connection closes after the response: a client that sends more than the proxy keeps is
+ * served no further request, but none is attempted for a client that has left.
  */
 final class ClientCloseWatch {
+    /** What waits unread on a connection. */
+    private enum Unread {
+        NOTHING,
+        BYTES,
+        CLOSE
+    }
+
+    /** Guards against one fast client that keeps the I/O thread from all others. */
+    private static final int MAX_DROPPED_BYTES_PER_EVENT = 128 * 1024;
+
+    /** More than the buffers of both kernels hold, so that a close behind them is reached. */
+    private static final int MAX_DROPPED_BYTES_PER_CHECK = 8 << 20;
+
+    /** Pause before more bytes are dropped, so that a fast client takes little of the CPU. */
+    private static final long DROP_PAUSE_MILLIS = 10;
+
     private ClientCloseWatch() {}
 
     /** Starts to watch the connection of a request that has been read completely. */
     static void start(HttpServerExchange exchange) {
         ConduitStreamSourceChannel source = connectionOf(exchange).getChannel().getSourceChannel();
-        source.setReadListener(channel -> readAhead(exchange));
+        source.setReadListener(channel -> readEvent(exchange, source));
         source.resumeReads();
     }
 
+    private static void readEvent(HttpServerExchange exchange, ConduitStreamSourceChannel source) {
+        if (readAhead(exchange, MAX_DROPPED_BYTES_PER_EVENT) == Unread.BYTES) {
+            source.suspendReads();
+            connectionOf(exchange)
+                    .getIoThread()
+                    .executeAfter(source::resumeReads, DROP_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /**
      * Stops watching once the response has been sent. Undertow reads from now on, beginning with
      * the bytes that were sent ahead.
+     *
+     * @return whether the watch goes on instead, as bytes are dropped: until the client closes or
+     *     its time is over. Guards against a close over unread bytes, which is a reset that may
+     *     destroy the response
      */
-    static void stop(HttpServerExchange exchange) {
-        if (exchange.getConnection() instanceof AbstractServerConnection connection
-                && connection.getExtraBytes() != null) {
+    static boolean stopOrLinger(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) {
+            return false;
+        }
+        if (ClientConnection.of(exchange).dropsBytesAhead() && connection.isOpen()) {
+            shutdownWrites(connection);
+            return true;
+        }
+        if (connection.getExtraBytes() != null) {
             connection.getChannel().getSourceChannel().suspendReads();
         }
+        return false;
+    }
+
+    private static void shutdownWrites(AbstractServerConnection connection) {
+        try {
+            connection.getChannel().getSinkChannel().shutdownWrites();
+            connection.getChannel().getSinkChannel().flush();
+        } catch (IOException e) {
+            IoUtils.safeClose(connection.getChannel());
+        }
     }
 
     /** Reads from the socket now, and closes the connection if its client has closed it. */
     static void checkNow(HttpServerExchange exchange) {
-        readAhead(exchange);
+        readAhead(exchange, MAX_DROPPED_BYTES_PER_CHECK);
     }
 
     /**
@@ -64,37 +112,86 @@
         return (AbstractServerConnection) exchange.getConnection();
     }
 
-    private static void readAhead(HttpServerExchange exchange) {
+    /**
+     * Reads what the client has sent ahead, and closes the connection if its client has closed it.
+     *
+     * @return what is left unread on the connection
+     */
+    private static Unread readAhead(HttpServerExchange exchange, int maxDroppedBytes) {
         AbstractServerConnection connection = connectionOf(exchange);
-        PooledByteBuffer pooled = connection.getExtraBytes();
-        if (pooled == null) {
-            pooled = connection.getByteBufferPool().allocate();
-            pooled.getBuffer().limit(0);
-        }
-        int count = 1;
+        ClientConnection client = ClientConnection.of(exchange);
+        Unread unread = Unread.BYTES;
         try {
-            while (count > 0) {
-                pooled = withRoom(pooled, ClientConnection.of(exchange).readAheadBudget());
-                count = append(connection, pooled);
+            if (!client.dropsBytesAhead()) {
+                unread = keep(connection, client.readAheadBudget());
+            }
+            if (unread == Unread.BYTES) {
+                client.dropBytesAhead();
+                exchange.setPersistent(false);
+                unread = drop(connection, maxDroppedBytes);
             }
         } catch (IOException e) {
-            count = -1;
-        }
-        if (isFull(pooled)) {
-            // Guards against a client that fills the memory with bytes sent ahead.
-            connection.getChannel().getSourceChannel().suspendReads();
+            unread = Unread.CLOSE;
         }
-        keepUnread(connection, pooled);
-        if (count < 0) {
+        if (unread == Unread.CLOSE) {
             IoUtils.safeClose(connection.getChannel());
         }
+        return unread;
     }
 
     /**
-     * Returns the buffer, or a larger one with its bytes if it is full and the budget allows it.
+     * Reads and keeps bytes for Undertow, behind those that it has not read yet. Keeps none at all
+     * if they exceed the budget.
+     */
+    private static Unread keep(AbstractServerConnection connection, BodyBufferBudget budget)
+            throws IOException {
+        PooledByteBuffer pooled = takeKeptBytes(connection);
+        Unread unread = Unread.CLOSE;
+        try {
+            int count = 1;
+            while (count > 0) {
+                pooled = withRoom(pooled, budget);
+                count = isFull(pooled) ? 0 : append(connection, pooled);
+            }
+            if (count == 0) {
+                unread = isFull(pooled) ? Unread.BYTES : Unread.NOTHING;
+            }
+        } finally {
+            if (unread == Unread.NOTHING && pooled.getBuffer().hasRemaining()) {
+                connection.setExtraBytes(pooled);
+            } else {
+                pooled.close();
+            }
+        }
+        return unread;
+    }
+
+    /**
+     * Returns the bytes that Undertow has not read yet, which the caller must give back or free.
+     */
+    private static PooledByteBuffer takeKeptBytes(AbstractServerConnection connection) {
+        PooledByteBuffer kept = connection.getExtraBytes();
+        if (kept == null) {
+            kept = connection.getByteBufferPool().allocate();
+            kept.getBuffer().limit(0);
+        }
+        connection.setExtraBytes(null);
+        return kept;
+    }
+
+    /**
+     * Returns the buffer with room at its end, or a larger one with its bytes; the same full buffer
+     * if the budget does not allow that.
      */
     private static PooledByteBuffer withRoom(PooledByteBuffer pooled, BodyBufferBudget budget) {
-        PooledByteBuffer grown = isFull(pooled) ? ReadAheadBuffer.growFrom(pooled, budget) : null;
+        if (!isFull(pooled)) {
+            return pooled;
+        }
+        if (pooled.getBuffer().position() > 0) {
+            pooled.getBuffer().compact().flip();
+            return pooled;
+        }
+        PooledByteBuffer grown = ReadAheadBuffer.growFrom(pooled, budget);
         return grown == null ? pooled : grown;
     }
 
@@ -109,7 +206,7 @@
         int end = buffer.limit();
         buffer.limit(buffer.capacity()).position(end);
         try {
-            return buffer.hasRemaining() ? connection.getOriginalSourceConduit().read(buffer) : 0;
+            return connection.getOriginalSourceConduit().read(buffer);
         } finally {
             buffer.limit(buffer.position()).position(start);
         }
@@ -119,12 +216,19 @@
         return pooled.getBuffer().limit() == pooled.getBuffer().capacity();
     }
 
-    private static void keepUnread(AbstractServerConnection connection, PooledByteBuffer pooled) {
-        if (pooled.getBuffer().hasRemaining()) {
-            connection.setExtraBytes(pooled);
-        } else {
-            connection.setExtraBytes(null);
-            pooled.close();
+    private static Unread drop(AbstractServerConnection connection, int maxBytes)
+            throws IOException {
+        try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
+            int dropped = 0;
+            int count = 1;
+            while (count > 0 && dropped < maxBytes) {
+                count = connection.getOriginalSourceConduit().read(pooled.getBuffer().clear());
+                dropped += Math.max(0, count);
+            }
+            if (count < 0) {
+                return Unread.CLOSE;
+            }
+            return count == 0 ? Unread.NOTHING : Unread.BYTES;
         }
     }
 }
--- a/src/main/java/lemondrift/proxy/client/ClientConnection.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnection.java
@@ -5,7 +5,7 @@
 import io.undertow.util.AttachmentKey;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Set;
+import java.util.function.BooleanSupplier;
 import lemondrift.buffer.BodyBufferBudget;
 import lemondrift.connection.ConnectionPolicy;
 import lemondrift.metrics.ProxyMetrics;
@@ -40,7 +40,7 @@
             MonotonicClock clock,
             ProxyMetrics metrics,
             BodyBufferBudget readAheadBudget,
-            Set<String> openRequestIds) {}
+            RequestIds requestIds) {}
 
     final StreamConnection socket;
     final int index;
@@ -57,11 +57,14 @@
     /** Ends the open request when it is overdue; null unless its complete body is buffered. */
     Runnable endOverdue;
 
+    /** Returns whether a backend may have executed the open request. */
+    BooleanSupplier mayHaveBeenExecuted = () -> false;
+
     private final ConnectionPolicy policy;
     private final MonotonicClock clock;
     private final ProxyMetrics metrics;
     private final BodyBufferBudget readAheadBudget;
-    private final Set<String> openRequestIds;
+    private final RequestIds requestIds;
     private final StreamSourceConduit source;
 
     /** A byte that was read to check for unread bytes, until Undertow reads it. */
@@ -78,6 +81,9 @@
     /** Whether the connection ends with a reset. */
     private boolean resetsOnClose;
 
+    /** Whether bytes that the client sends ahead of its response are dropped. */
+    private boolean dropsBytesAhead;
+
     /** Whether the reply to the current request was counted. */
     private boolean replyCounted;
 
@@ -88,7 +94,7 @@
         clock = context.clock;
         metrics = context.metrics;
         readAheadBudget = context.readAheadBudget;
-        openRequestIds = context.openRequestIds;
+        requestIds = context.requestIds;
         source = socket.getSourceChannel().getConduit();
     }
 
@@ -109,6 +115,18 @@
         return readAheadBudget;
     }
 
+    /**
+     * Drops all bytes that the client sends from now on. The connection closes after the current
+     * response, so that no request can be missed in them.
+     */
+    void dropBytesAhead() {
+        dropsBytesAhead = true;
+    }
+
+    boolean dropsBytesAhead() {
+        return dropsBytesAhead;
+    }
+
     /** Reports all reads and writes of the socket to the policy from now on. */
     void observe() {
         socket.getSourceChannel().setConduit(observedSource());
@@ -204,10 +222,10 @@
     /**
      * Opens a request, which need not have arrived completely.
      *
-     * @return false if another request with this id is open: backends could not tell them apart
+     * @return false if the id is in use: backends could not tell the two requests apart
      */
     boolean openRequest(String id, Request opened) {
-        if (!openRequestIds.add(id)) {
+        if (!requestIds.open(id, clock.now())) {
             return false;
         }
         requestId = id;
@@ -323,6 +341,9 @@
         }
         if (!closed) {
             policy.responseSent(index, priorityWeight, clock.now());
+            if (dropsBytesAhead) {
+                policy.discardingRequest(index, clock.now());
+            }
         }
         closeRequest();
     }
@@ -334,10 +355,20 @@
         return first;
     }
 
+    /** Closes the open request, as its client has left, and returns it; null if none is open. */
+    Request abandonRequest() {
+        if (request != null
+                && mayHaveBeenExecuted.getAsBoolean()
+                && !request.terms.requestClass().isClientRetryHarmless()) {
+            requestIds.abandon(requestId, clock.now());
+        }
+        return closeRequest();
+    }
+
     /** Closes the open request and returns it; null if none is open. */
     Request closeRequest() {
         Request ended = request;
-        openRequestIds.remove(requestId);
+        requestIds.close(requestId);
         if (requestRead) {
             metrics.requestCompleted();
         }
@@ -348,6 +379,7 @@
         }
         request = null;
         endOverdue = null;
+        mayHaveBeenExecuted = () -> false;
         requestId = null;
         return ended;
     }
--- a/src/main/java/lemondrift/proxy/client/ClientConnections.java
+++ b/src/main/java/lemondrift/proxy/client/ClientConnections.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +54,7 @@
     private final int maxConnections;
     private final ClientConnection[] byIndex;
     private final Map<StreamConnection, ClientConnection> bySocket = new HashMap<>();
-    private final Set<String> openRequestIds = new HashSet<>();
+    private final RequestIds requestIds = new RequestIds();
 
     /** Receives the open request of a connection that has been closed. */
     private final Consumer<Request> onClientClosed;
@@ -79,9 +78,7 @@
         this.tasks = tasks;
         this.onClientClosed = onClientClosed;
         policy = new ConnectionPolicy(limits, this, seed);
-        context =
-                new ClientConnection.Context(
-                        policy, clock, metrics, readAheadBudget, openRequestIds);
+        context = new ClientConnection.Context(policy, clock, metrics, readAheadBudget, requestIds);
         sweepIntervalSeconds = limits.sweepIntervalSeconds();
         maxConnections = limits.maxConnections();
         byIndex = new ClientConnection[policy.capacity()];
@@ -102,7 +99,7 @@
     }
 
     int openRequestCount() {
-        return openRequestIds.size();
+        return requestIds.openCount();
     }
 
     /** Returns the indexes of the request classes of open requests. */
@@ -226,7 +223,7 @@
 
     /** Guards against requests that are never answered, whatever delays the balancer. */
     private void endOverdue(double now) {
-        if (openRequestIds.isEmpty()) {
+        if (requestIds.openCount() == 0) {
             return;
         }
         for (ClientConnection connection : byIndex) {
@@ -257,7 +254,7 @@
         if (connection.stopRelay != null) {
             connection.stopRelay.run();
         }
-        Request request = connection.closeRequest();
+        Request request = connection.abandonRequest();
         if (request != null) {
             onClientClosed.accept(request);
         }
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -71,7 +71,9 @@
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
                     exchangeCompleted(completed, connection);
-                    next.proceed();
+                    if (!ClientCloseWatch.stopOrLinger(completed)) {
+                        next.proceed();
+                    }
                 });
         if (isHealthCheck(exchange)) {
             responseWriter.writeHealth(exchange);
@@ -99,7 +101,6 @@
      * the close.
      */
     private void exchangeCompleted(HttpServerExchange exchange, ClientConnection connection) {
-        ClientCloseWatch.stop(exchange);
         if (ClientConnection.socketOf(exchange).isOpen()) {
             responseWriter.count(exchange);
             connection.responseSent();
@@ -195,6 +196,7 @@
         }
         PendingRequest pending = new PendingRequest(request, exchange, body, null);
         connection.endOverdue = () -> admission.endOverdue(pending);
+        connection.mayHaveBeenExecuted = pending::mayHaveBeenExecuted;
         admission.offer(pending);
     }
 
@@ -228,6 +230,7 @@
         request.terms = parsedRequest.terms.withTimeout(timeoutSeconds);
         ClientConnection.of(exchange).request = request;
         PendingRequest pending = new PendingRequest(request, exchange, new byte[0], body);
+        ClientConnection.of(exchange).mayHaveBeenExecuted = pending::mayHaveBeenExecuted;
         body.startDeadline(clientTimeoutSeconds, () -> admission.endOverdue(pending));
         admission.offer(pending);
     }
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -102,6 +102,9 @@
     /** Milliseconds between two sweeps of the client connections. */
     private static final int SWEEP_INTERVAL_MILLIS = 200;
 
+    /** Milliseconds between a client's close and the moment in which a connection comes up. */
+    private static final int CONNECT_DELAY_MILLIS = 300;
+
     private boolean mayCancel = true;
     private int latencyObjectiveMillis = LATENCY_OBJECTIVE_MILLIS;
     private int timeoutMillis = TIMEOUT_MILLIS;
@@ -218,18 +221,29 @@
 
     // Clients that leave while their request waits.
 
-    @Test
-    void doesNotSendWhenClientLeavesDuringConnectAndCancellationIsOff() throws Exception {
+    /**
+     * Guards against an attempt for a client that left while a connection to the backend came up
+     * late, also if its close waits behind many bytes that it had sent ahead.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 4_000, 400_000, 3_000_000})
+    void doesNotSendWhenClientLeavesDuringConnectAndCancellationIsOff(int bytesAhead)
+            throws Exception {
         mayCancel = false;
+        // No timeout ends the request before its client has left.
+        setClassTimes(60_000);
         holdConnections();
         ScriptedServer backend = backend(SILENCE);
         start(backend);
         HeldConnector.HeldConnection connection;
         try (Socket client = connectClient()) {
             writeText(client, getRequestWithLongTimeout("a"));
+            if (bytesAhead > 0) {
+                writeText(client, partialPost("b", TIMEOUT_MILLIS, bytesAhead, bytesAhead));
+            }
             connection = heldConnector.nextConnection();
         }
-        awaitInFlight(counts -> counts.connections() == 0);
+        Thread.sleep(CONNECT_DELAY_MILLIS);
         release(connection);
         assertReceivedNothing(backend);
         awaitNothingInFlight();
