A request that may have run is repeated only if it is written while backends know it

Cause: the window was compared at the decision alone, and whole; a proxy that is held up, or a connection that comes up late, moves the write beyond it.

Request.repeatableBefore is the window less the 0.15 s for which a proxy may be held up. The decision goes by it, and each attempt carries it and is looked at before each write (NOT_SENT otherwise).

--- a/src/main/java/lemondrift/balancer/RetryPolicy.java
+++ b/src/main/java/lemondrift/balancer/RetryPolicy.java
@@ -26,10 +26,11 @@
  *       may have attempts, so that this proxy never causes a retry storm;
  *   <li>the backend has not had this request before;
  *   <li>no earlier attempt may have been executed ({@link AttemptOutcome#neverExecuted}); or the
- *       request is idempotent; or it carries an idempotency key, the first attempt that may have
- *       been executed is not older than the key's time to live (seconds), and the backend shares
- *       its memory of keys with the backend of that attempt: depending on the {@link
- *       DeduplicationScope}, all backends do, or those of its zone, or those of its cell.
+ *       request is idempotent; or it carries an idempotency key, backends still recognize the key
+ *       of the first attempt that may have been executed ({@link Request#repeatableBefore}, checked
+ *       again when the retry is written), and the backend shares its memory of keys with the
+ *       backend of that attempt: depending on the {@link DeduplicationScope}, all backends do, or
+ *       those of its zone, or those of its cell.
  * </ul>
  */
 final class RetryPolicy extends DecisionStage {
@@ -75,11 +76,7 @@
     boolean isBackendEligible(Request request, int backend, double now) {
         return !wasAttemptedAt(request, backend)
                 && (request.possiblyExecuted == null
-                        || mayRepeat(
-                                request.terms.requestClass(),
-                                request.possiblyExecuted,
-                                backend,
-                                now))
+                        || mayRepeat(request, request.possiblyExecuted, backend, now))
                 && super.isBackendEligible(request, backend, now);
     }
 
@@ -95,12 +92,12 @@
      * Returns whether a backend may execute a request that another backend may have executed
      * already.
      */
-    private boolean mayRepeat(
-            RequestClass requestClass, Attempt executed, int backend, double now) {
+    private boolean mayRepeat(Request request, Attempt executed, int backend, double now) {
+        RequestClass requestClass = request.terms.requestClass();
         if (requestClass.idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
             return requestClass.idempotency() == Idempotency.IDEMPOTENT;
         }
-        return now - executed.sentAt < requestClass.idempotencyKeyTtlSeconds()
+        return now < request.repeatableBefore()
                 && shareIdempotencyKeys(
                         requestClass.deduplicationScope(), executed.backend, backend);
     }
--- a/src/main/java/lemondrift/model/Attempt.java
+++ b/src/main/java/lemondrift/model/Attempt.java
@@ -18,6 +18,12 @@
     /** The estimated number of requests that were ahead of it at the backend. */
     public final double queueAhead;
 
+    /**
+     * The time before which its last byte must be written; infinite unless it repeats an attempt
+     * that may have been executed, which backends recognize for a limited time only.
+     */
+    public final double sendBefore;
+
     /** The previous attempt of the same request; null for the first. */
     public final Attempt previous;
 
@@ -33,6 +39,7 @@
         this.sentAt = sentAt;
         this.timeoutSeconds = timeoutSeconds;
         this.queueAhead = queueAhead;
+        this.sendBefore = request.repeatableBefore();
         this.previous = request.latestAttempt;
     }
 }
--- a/src/main/java/lemondrift/model/Request.java
+++ b/src/main/java/lemondrift/model/Request.java
@@ -8,6 +8,12 @@
     /** In {@link #bestBackend}: no backend may be given the request now. */
     public static final int NO_BACKEND = -1;
 
+    /**
+     * Seconds for which the process may be held up between reading its clock and writing. Guards
+     * against a repeat that reaches its backend when the key is forgotten.
+     */
+    public static final double MAX_SEND_DELAY_SECONDS = 0.15;
+
     public final long id;
 
     /** The index of its request class. */
@@ -97,4 +103,19 @@
         this.deadline = arrivedAt + secondsLeft;
         this.markedRetry = markedRetry;
     }
+
+    /**
+     * Returns the time before which the last byte of another attempt must be written, in seconds:
+     * infinite unless an attempt may have been executed and backends recognize a repeat of it by
+     * its key, which they forget after some time.
+     */
+    public double repeatableBefore() {
+        if (possiblyExecuted == null
+                || terms.requestClass().idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return possiblyExecuted.sentAt
+                + terms.requestClass().idempotencyKeyTtlSeconds()
+                - MAX_SEND_DELAY_SECONDS;
+    }
 }
--- a/src/main/java/lemondrift/proxy/backend/BackendCall.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendCall.java
@@ -36,8 +36,8 @@
     private final ResponseReader reader;
     private final CallTimeouts timeouts;
 
-    /** Returns whether the response is still needed. */
-    private final BooleanSupplier isResponseAwaited;
+    /** Returns whether the request may still be sent, whatever time is left for the response. */
+    private final BooleanSupplier maySend;
 
     private final Runnable onSent;
     private final Consumer<BackendResponse> onEnd;
@@ -57,14 +57,14 @@
             RequestWriter.Request request,
             ResponseReader reader,
             CallTimeouts timeouts,
-            BooleanSupplier isResponseAwaited,
+            BooleanSupplier maySend,
             Runnable onSent,
             Consumer<BackendResponse> onEnd) {
         this.pool = pool;
         this.requestWriter = new RequestWriter(this, pool.ioThread, pool.clock, request);
         this.reader = reader;
         this.timeouts = timeouts;
-        this.isResponseAwaited = isResponseAwaited;
+        this.maySend = maySend;
         this.onSent = onSent;
         this.onEnd = onEnd;
     }
@@ -112,8 +112,8 @@
      * no longer needed or the time to send is over. Sends nothing until {@link #start}, but the
      * timeouts count from now.
      *
-     * @param isResponseAwaited returns whether the response is still needed; called before each
-     *     write
+     * @param maySend returns whether the request may still be sent: whether its response is needed,
+     *     and a repeat of it is recognized; called before each write
      * @param onSent runs when the kernel has the last byte of the request
      * @param onEnd receives the response or the failure once, but not after {@link #abandon}
      * @return the call; null if no connection is idle and none may be opened
@@ -123,7 +123,7 @@
             RequestWriter.Request request,
             int maxBufferedBytes,
             CallTimeouts timeouts,
-            BooleanSupplier isResponseAwaited,
+            BooleanSupplier maySend,
             Runnable onSent,
             Consumer<BackendResponse> onEnd) {
         BackendCall call =
@@ -132,7 +132,7 @@
                         request,
                         new ResponseReader(maxBufferedBytes, true),
                         timeouts,
-                        isResponseAwaited,
+                        maySend,
                         onSent,
                         onEnd);
         return call.reserve() ? call : null;
@@ -220,9 +220,9 @@
         return state == State.DONE;
     }
 
-    /** Returns whether the request should be sent: its response is needed and time is left. */
+    /** Returns whether more of the request should be sent: it may be sent and time is left. */
     boolean shouldSend() {
-        return isResponseAwaited.getAsBoolean()
+        return maySend.getAsBoolean()
                 && (requestWriter.streamsBody() || !timeouts.isTooLateToSend());
     }
 
--- a/src/main/java/lemondrift/proxy/backend/BackendClient.java
+++ b/src/main/java/lemondrift/proxy/backend/BackendClient.java
@@ -147,7 +147,7 @@
                                 responseSeconds,
                                 responseSeconds,
                                 STREAM_AFTER_SHARE * responseSeconds),
-                        () -> isClientWaiting.test(pending),
+                        () -> clock.now() < attempt.sendBefore && isClientWaiting.test(pending),
                         () -> {
                             pending.markAttemptSent();
                             metrics.attemptSent();
--- a/src/test/java/lemondrift/LoadBalancerTest.java
+++ b/src/test/java/lemondrift/LoadBalancerTest.java
@@ -380,6 +380,25 @@
         }
     }
 
+    /**
+     * Guards against an effect that happens twice because the proxy is held up between the decision
+     * to repeat a request and its write, near the end of the time for which backends recognize it.
+     */
+    @Test
+    void repeatIsDecidedOnlyIfItIsRecognizedEvenWhenWrittenLate() {
+        double lastDecisionSeconds =
+                TestDeployment.WITH_KEY.idempotencyKeyTtlSeconds() - Request.MAX_SEND_DELAY_SECONDS;
+        TestDeployment proxy = TestDeployment.withBackends(60);
+        Attempt inTime = proxy.receiveRequest(WITH_KEY);
+        proxy.now += lastDecisionSeconds - 0.01;
+        Attempt repeat = proxy.endAttempt(inTime, AttemptOutcome.RESET);
+        assertEquals(
+                inTime.sentAt + lastDecisionSeconds, repeat.sendBefore, 1e-9, "of the first one");
+        Attempt tooLate = proxy.receiveRequest(WITH_KEY);
+        proxy.now += lastDecisionSeconds + 0.01;
+        assertNull(proxy.endAttempt(tooLate, AttemptOutcome.RESET));
+    }
+
     @Test
     void attemptsAreBoundedByLimitAndRetryBudget() {
         TestDeployment proxy = TestDeployment.withBackends(8);
