--- a/src/main/java/lemondrift/balancer/BackendSelector.java
+++ b/src/main/java/lemondrift/balancer/BackendSelector.java
@@ -234,7 +234,8 @@
                         backend,
                         now,
                         request.attemptDeadline - now,
-                        Math.max(0, estimator.estimate(backend, now) - 1));
+                        Math.max(0, estimator.estimate(backend, now) - 1),
+                        request.repeatableBefore());
         request.attemptCount++;
         request.attemptsInFlight++;
         request.probeRounds = 0;
--- a/src/main/java/lemondrift/model/Attempt.java
+++ b/src/main/java/lemondrift/model/Attempt.java
@@ -30,16 +30,27 @@
     /** Whether the balancer has handled its end. */
     public boolean ended;
 
-    /** Creates the next attempt of a request. Does not change the request's own counts. */
+    /** Creates the next attempt of a request, which may be written at any time. */
     public Attempt(
             Request request, int backend, double sentAt, double timeoutSeconds, double queueAhead) {
+        this(request, backend, sentAt, timeoutSeconds, queueAhead, Double.POSITIVE_INFINITY);
+    }
+
+    /** Creates the next attempt of a request. Does not change the request's own counts. */
+    public Attempt(
+            Request request,
+            int backend,
+            double sentAt,
+            double timeoutSeconds,
+            double queueAhead,
+            double sendBefore) {
         this.request = request;
         this.backend = backend;
         this.index = request.attemptCount;
         this.sentAt = sentAt;
         this.timeoutSeconds = timeoutSeconds;
         this.queueAhead = queueAhead;
-        this.sendBefore = request.repeatableBefore();
+        this.sendBefore = sendBefore;
         this.previous = request.latestAttempt;
     }
 }
