Clients that pipeline health checks no longer keep timers and other connections waiting

Cause: Undertow begins a buffered request in a task of the I/O thread, and XNIO looks at no timer and no socket while there are tasks, those added meanwhile included.

BodyRelay, which went on with a task of its own, waits for its socket.

--- a/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
+++ b/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
@@ -62,9 +62,7 @@
      *     destroy the response
      */
     static boolean stopOrLinger(HttpServerExchange exchange) {
-        if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) {
-            return false;
-        }
+        AbstractServerConnection connection = connectionOf(exchange);
         if (ClientConnection.of(exchange).dropsBytesAhead() && connection.isOpen()) {
             shutdownWrites(connection);
             return true;
@@ -75,6 +73,13 @@
         return false;
     }
 
+    /**
+     * Returns whether bytes that the client sent ahead are kept, so that Undertow reads them next.
+     */
+    static boolean hasBytesAhead(HttpServerExchange exchange) {
+        return connectionOf(exchange).getExtraBytes() != null;
+    }
+
     private static void shutdownWrites(AbstractServerConnection connection) {
         try {
             connection.getChannel().getSinkChannel().shutdownWrites();
--- a/src/main/java/lemondrift/proxy/client/ClientListener.java
+++ b/src/main/java/lemondrift/proxy/client/ClientListener.java
@@ -108,7 +108,8 @@
                         bufferBudget,
                         bufferPool,
                         stallTimeoutSeconds,
-                        decisionEvents);
+                        decisionEvents,
+                        new PipelinePacer(worker.getIoThread()));
         httpListener = createHttpListener(bufferPool);
         httpListener.setRootHandler(Handlers.httpContinueRead(requestReader::handle));
     }
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -38,6 +38,7 @@
     private final ByteBufferPool bufferPool;
     private final double backendStallTimeoutSeconds;
     private final DecisionEvents decisionEvents;
+    private final PipelinePacer pipelinePacer;
 
     RequestReader(
             ClientConnections connections,
@@ -47,7 +48,8 @@
             BodyBufferBudget bufferBudget,
             ByteBufferPool bufferPool,
             double backendStallTimeoutSeconds,
-            DecisionEvents decisionEvents) {
+            DecisionEvents decisionEvents,
+            PipelinePacer pipelinePacer) {
         this.connections = connections;
         this.validator = validator;
         this.admission = admission;
@@ -56,6 +58,7 @@
         this.bufferPool = bufferPool;
         this.backendStallTimeoutSeconds = backendStallTimeoutSeconds;
         this.decisionEvents = decisionEvents;
+        this.pipelinePacer = pipelinePacer;
     }
 
     /** Handles a request whose head Undertow has read. */
@@ -71,7 +74,10 @@
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
                     exchangeCompleted(completed, connection);
-                    if (!ClientCloseWatch.stopOrLinger(completed)) {
+                    boolean lingers = ClientCloseWatch.stopOrLinger(completed);
+                    if (!lingers && ClientCloseWatch.hasBytesAhead(completed)) {
+                        pipelinePacer.begin(next::proceed);
+                    } else if (!lingers) {
                         next.proceed();
                     }
                 });
--- a/src/main/java/lemondrift/proxy/http/BodyRelay.java
+++ b/src/main/java/lemondrift/proxy/http/BodyRelay.java
@@ -92,7 +92,9 @@
                 }
             }
             if (!ended) {
-                ioThread.execute(this::run);
+                // Continues once the I/O thread has looked at its other connections and timers: it
+                // looks at neither while there are tasks.
+                sink.resumeWrites();
             }
         } catch (IOException | RuntimeException e) {
             // Catches every exception, as the library of either side may throw any: the body is
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -105,6 +105,11 @@
     /** Milliseconds between a client's close and the moment in which a connection comes up. */
     private static final int CONNECT_DELAY_MILLIS = 300;
 
+    /** How many clients pipeline requests, and how many each of them. */
+    private static final int PIPELINING_CLIENTS = 40;
+
+    private static final int PIPELINED_REQUESTS = 200;
+
     private boolean mayCancel = true;
     private int latencyObjectiveMillis = LATENCY_OBJECTIVE_MILLIS;
     private int timeoutMillis = TIMEOUT_MILLIS;
@@ -507,6 +512,75 @@
         }
     }
 
+    /**
+     * Guards against late answers: while tasks of the I/O thread follow one another, as for
+     * pipelined requests that the proxy answers by itself, it runs no timer and reads no socket.
+     */
+    @Test
+    void runsTimersWhileClientsPipelineHealthChecks() throws Exception {
+        holdConnections();
+        start(backend(OK));
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+            clients.add(connectClient());
+        }
+        awaitQueuedTasks();
+        proxy.runOnIoThread(
+                () -> {
+                    blocked.countDown();
+                    awaitLatch(release);
+                });
+        awaitLatch(blocked);
+        for (Socket client : clients) {
+            writeText(
+                    client, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n".repeat(PIPELINED_REQUESTS));
+        }
+        release.countDown();
+        awaitReceivedBytes(clients);
+        CompletableFuture<Integer> bytesAtTimer = new CompletableFuture<>();
+        heldConnector
+                .worker()
+                .getIoThread()
+                .executeAfter(
+                        () -> bytesAtTimer.complete(availableBytes(clients)),
+                        1,
+                        TimeUnit.MILLISECONDS);
+        int bytesUntilTimer = bytesAtTimer.get(THREAD_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        int allBytes = 0;
+        for (Socket client : clients) {
+            for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+                allBytes += readMessage(client).length();
+            }
+            client.close();
+        }
+        assertTrue(
+                bytesUntilTimer < allBytes / 2,
+                "bytes of responses before a timer of 1 ms: "
+                        + bytesUntilTimer
+                        + " of "
+                        + allBytes);
+    }
+
+    private static void awaitReceivedBytes(List<Socket> clients) {
+        while (availableBytes(clients) == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static int availableBytes(List<Socket> clients) {
+        try {
+            int bytes = 0;
+            for (Socket client : clients) {
+                bytes += client.getInputStream().available();
+            }
+            return bytes;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Guards against a backend that works past the deadline by the duration of the handshake. */
     @Test
     void sendsRemainingTimeWhenConnectionOpensLate() throws Exception {
