A new id that is listed first as draining replaces the backend at its address

Cause: only a new id that is ready took the address over. Now one that drains does too, if it started later.

--- a/src/main/java/lemondrift/proxy/client/RefusalReason.java
+++ b/src/main/java/lemondrift/proxy/client/RefusalReason.java
@@ -8,6 +8,6 @@
     UNREADABLE_BODY,
     /** The body is longer than the proxy accepts. */
     BODY_TOO_LONG,
-    /** A field is missing, malformed or repeated, or another open request has the same id. */
+    /** A field is missing, malformed or repeated, or the id is in use, see {@link RequestIds}. */
     BAD_FIELD_OR_OPEN_ID
 }
--- a/src/main/java/lemondrift/proxy/client/RequestReader.java
+++ b/src/main/java/lemondrift/proxy/client/RequestReader.java
@@ -241,7 +241,7 @@
         admission.offer(pending);
     }
 
-    /** Opens a request; returns null if a field is invalid or another open request has its id. */
+    /** Opens a request; returns null if a field is invalid or its id is in use. */
     private Request openRequest(HttpServerExchange exchange) {
         Request request = validator.parse(exchange.getRequestHeaders());
         boolean opened =
--- a/src/main/java/lemondrift/proxy/discovery/BackendDirectory.java
+++ b/src/main/java/lemondrift/proxy/discovery/BackendDirectory.java
@@ -205,8 +205,8 @@
      */
     void apply(EndpointList.Endpoint endpoint, List<EndpointUpdate> updates) {
         Entry known = byId.get(endpoint.id());
-        if (known == null && endpoint.state() == EndpointUpdate.State.READY) {
-            removeAllAt(endpoint.address(), updates);
+        if (known == null) {
+            removeFormer(endpoint, updates);
         }
         Entry entry = known == null ? add(endpoint.id()) : known;
         entry.lastListNumber = lastListNumber;
@@ -228,12 +228,18 @@
     }
 
     /**
-     * Removes all backends at an address. Guards against requests for a former backend reaching a
-     * new backend at the same address.
+     * Removes the backends that a new one has replaced at its address. Guards against requests for
+     * a former backend reaching a new one, which may drain already when it is first listed. A
+     * draining one replaces only those that started before it, as it may itself be a former one
+     * that is listed late.
      */
-    private void removeAllAt(InetSocketAddress address, List<EndpointUpdate> updates) {
-        for (Entry former : List.copyOf(byAddress.getOrDefault(address, Set.of()))) {
-            updates.add(remove(former));
+    private void removeFormer(EndpointList.Endpoint added, List<EndpointUpdate> updates) {
+        for (Entry other : List.copyOf(byAddress.getOrDefault(added.address(), Set.of()))) {
+            if (added.state() == EndpointUpdate.State.READY
+                    || (added.state() == EndpointUpdate.State.DRAINING
+                            && added.startedAt() > other.lastUpdate.startedAt())) {
+                updates.add(remove(other));
+            }
         }
     }
 
--- a/src/test/java/lemondrift/proxy/discovery/BackendDirectoryTest.java
+++ b/src/test/java/lemondrift/proxy/discovery/BackendDirectoryTest.java
@@ -73,4 +73,19 @@
                         new EndpointUpdate(0, true, 0, 3, EndpointUpdate.State.READY, 0)),
                 apply(false, "two active 1"));
     }
+
+    /** Guards against requests for a former backend reaching a new one that drains already. */
+    @Test
+    void removesFormerBackendWhenItsAddressIsReusedByOneThatDrains() {
+        apply(true, "one active 1 100", "other active 2 100");
+        assertEquals(
+                List.of(
+                        new EndpointUpdate(0, false, 0, 3, EndpointUpdate.State.GONE, 0),
+                        new EndpointUpdate(0, true, 0, 3, EndpointUpdate.State.DRAINING, 200)),
+                apply(false, "two leaving 1 200"));
+        assertEquals(
+                List.of(new EndpointUpdate(2, true, 0, 3, EndpointUpdate.State.DRAINING, 50)),
+                apply(false, "older leaving 2 50"),
+                "a former backend that is listed late replaces none");
+    }
 }
