A relay that lets others run waits for its receiver within the stall time

The first form of the yield of BodyRelay waited for the receiver without a timer: one that was full after just 16 pieces was waited for without end. A receiver that accepts nothing counts as stalled there, too.

Evidence: BodyRelayTest, a receiver that accepts 0, 1, 15, 16, 17 or 32 pieces and nothing more.

--- a/src/main/java/lemondrift/proxy/http/BodyRelay.java
+++ b/src/main/java/lemondrift/proxy/http/BodyRelay.java
@@ -39,6 +39,7 @@
     /** When the sink last accepted bytes, in seconds of the clock. */
     private double sinkProgressAt;
 
+    private boolean awaitsSink;
     private XnioExecutor.Key stallTimer;
     private boolean ended;
 
@@ -75,6 +76,7 @@
             return;
         }
         stopTimer();
+        awaitsSink = false;
         try {
             for (int count = 0; count < MAX_PIECES_PER_RUN && !ended; count++) {
                 if (!writePiece()) {
@@ -93,8 +95,8 @@
             }
             if (!ended) {
                 // Continues once the I/O thread has looked at its other connections and timers: it
-                // looks at neither while there are tasks.
-                sink.resumeWrites();
+                // looks at neither while there are tasks. The sink may accept nothing by then.
+                awaitSink();
             }
         } catch (IOException | RuntimeException e) {
             // Catches every exception, as the library of either side may throw any: the body is
@@ -117,13 +119,15 @@
     }
 
     /**
-     * Returns for how many seconds the sink has accepted no byte of a piece; 0 if there is none.
+     * Returns for how many seconds the sink has accepted no byte; 0 if the relay does not wait for
+     * it.
      */
     public double sinkStalledSeconds() {
-        return piece != null && piece.hasRemaining() ? clock.getAsDouble() - sinkProgressAt : 0;
+        return awaitsSink ? clock.getAsDouble() - sinkProgressAt : 0;
     }
 
     private void awaitSink() {
+        awaitsSink = true;
         sink.resumeWrites();
         startTimer(timeouts.sinkSeconds);
     }
