The watch for a client's close works after requests with a body, too

Callers saw: after a request with a body a client that left was noticed only before the next attempt, so that an attempt ran on for it; and a client that sent more ahead than the budget, behind such a request, met a reset after its response. Cause, by a trace: the watch resumed reads through the channel, whose conduit ends with the body and then resumes nothing ("resumed=false").

It resumes the connection's own conduit now. A look drops as much as the kernels of both sides can hold, from the bound that long requests use already; 8 MiB were fewer than the 32 MiB of some machines.

--- a/src/main/java/lemondrift/connection/UploadProgress.java
+++ b/src/main/java/lemondrift/connection/UploadProgress.java
@@ -14,7 +14,7 @@
     public static final long UNKNOWN_LENGTH = -1;
 
     /** The most bytes that a client's kernel buffers for one connection: the default of Linux. */
-    private static final long CLIENT_BUFFER_BYTES = 4 << 20;
+    public static final long CLIENT_BUFFER_BYTES = 4 << 20;
 
     /** Bytes between two positions of the body whose time is remembered. */
     private static final int SEGMENT_BYTES = 1 << 18;
--- a/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
+++ b/src/main/java/lemondrift/proxy/client/ClientCloseWatch.java
@@ -7,9 +7,10 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import lemondrift.buffer.BodyBufferBudget;
+import lemondrift.connection.UploadProgress;
 import lemondrift.proxy.events.PendingRequest;
 import org.xnio.IoUtils;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Detects that a client closes its connection while it waits for a response, when Undertow reads
@@ -29,9 +30,6 @@
     /** Guards against one fast client that keeps the I/O thread from all others. */
     private static final int MAX_DROPPED_BYTES_PER_EVENT = 128 * 1024;
 
-    /** More than the buffers of both kernels hold, so that a close behind them is reached. */
-    private static final int MAX_DROPPED_BYTES_PER_CHECK = 8 << 20;
-
     /** Pause before more bytes are dropped, so that a fast client takes little of the CPU. */
     private static final long DROP_PAUSE_MILLIS = 10;
 
@@ -39,13 +37,19 @@
 
     /** Starts to watch the connection of a request that has been read completely. */
     static void start(HttpServerExchange exchange) {
-        ConduitStreamSourceChannel source = connectionOf(exchange).getChannel().getSourceChannel();
-        source.setReadListener(channel -> readEvent(exchange, source));
+        AbstractServerConnection connection = connectionOf(exchange);
+        // Not through the channel: after a request with a body that resumes nothing, as its conduit
+        // ends with the body.
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
+        connection
+                .getChannel()
+                .getSourceChannel()
+                .setReadListener(channel -> readEvent(exchange, source));
         source.resumeReads();
     }
 
-    private static void readEvent(HttpServerExchange exchange, ConduitStreamSourceChannel source) {
-        if (readAhead(exchange, MAX_DROPPED_BYTES_PER_EVENT) == Unread.BYTES) {
+    private static void readEvent(HttpServerExchange exchange, StreamSourceConduit source) {
+        if (readAhead(exchange, false) == Unread.BYTES) {
             source.suspendReads();
             connectionOf(exchange)
                     .getIoThread()
@@ -68,7 +72,7 @@
             return true;
         }
         if (connection.getExtraBytes() != null) {
-            connection.getChannel().getSourceChannel().suspendReads();
+            connection.getOriginalSourceConduit().suspendReads();
         }
         return false;
     }
@@ -91,7 +95,7 @@
 
     /** Reads from the socket now, and closes the connection if its client has closed it. */
     static void checkNow(HttpServerExchange exchange) {
-        readAhead(exchange, MAX_DROPPED_BYTES_PER_CHECK);
+        readAhead(exchange, true);
     }
 
     /**
@@ -120,9 +124,10 @@
     /**
      * Reads what the client has sent ahead, and closes the connection if its client has closed it.
      *
+     * @param all whether to read on until the close is reached, if there is one
      * @return what is left unread on the connection
      */
-    private static Unread readAhead(HttpServerExchange exchange, int maxDroppedBytes) {
+    private static Unread readAhead(HttpServerExchange exchange, boolean all) {
         AbstractServerConnection connection = connectionOf(exchange);
         ClientConnection client = ClientConnection.of(exchange);
         Unread unread = Unread.BYTES;
@@ -133,7 +138,10 @@
             if (unread == Unread.BYTES) {
                 client.dropBytesAhead();
                 exchange.setPersistent(false);
-                unread = drop(connection, maxDroppedBytes);
+                unread =
+                        drop(
+                                connection,
+                                all ? maxUnreadBytes(connection) : MAX_DROPPED_BYTES_PER_EVENT);
             }
         } catch (IOException e) {
             unread = Unread.CLOSE;
@@ -221,10 +229,16 @@
         return pooled.getBuffer().limit() == pooled.getBuffer().capacity();
     }
 
-    private static Unread drop(AbstractServerConnection connection, int maxBytes)
+    /** Returns the most bytes that the kernels of both sides hold before a close. */
+    private static long maxUnreadBytes(AbstractServerConnection connection) {
+        return UploadProgress.CLIENT_BUFFER_BYTES
+                + UploadDeadline.receiveBufferBytes(connection.getChannel());
+    }
+
+    private static Unread drop(AbstractServerConnection connection, long maxBytes)
             throws IOException {
         try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
-            int dropped = 0;
+            long dropped = 0;
             int count = 1;
             while (count > 0 && dropped < maxBytes) {
                 count = connection.getOriginalSourceConduit().read(pooled.getBuffer().clear());
--- a/src/main/java/lemondrift/proxy/client/UploadDeadline.java
+++ b/src/main/java/lemondrift/proxy/client/UploadDeadline.java
@@ -76,7 +76,8 @@
     /** Returns how many seconds are left until the deadline, as far as it is known now. */
     double secondsLeft() {
         double now = clock.now();
-        double earliestEnd = awaitingClient ? now : progress.earliestEnd(receiveBufferBytes(), now);
+        double earliestEnd =
+                awaitingClient ? now : progress.earliestEnd(receiveBufferBytes(socket), now);
         return earliestEnd + timeoutSeconds - now;
     }
 
@@ -97,7 +98,7 @@
     }
 
     /** Returns the size of the kernel's buffer; if it is not known, that of the longest body. */
-    private long receiveBufferBytes() {
+    static long receiveBufferBytes(StreamConnection socket) {
         try {
             Integer bytes = socket.getOption(Options.RECEIVE_BUFFER);
             return bytes == null ? Integer.MAX_VALUE : bytes;
--- a/src/test/java/lemondrift/proxy/RaceConditionsTest.java
+++ b/src/test/java/lemondrift/proxy/RaceConditionsTest.java
@@ -254,6 +254,24 @@
         awaitNothingInFlight();
     }
 
+    /** Guards against an attempt that runs on for a client that has left, after a body was read. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 4_000, 3_000_000})
+    void cancelsAttemptWhenClientLeavesAfterRequestWithBody(int bytesAhead) throws Exception {
+        setClassTimes(60_000);
+        ScriptedServer backend = backend(SILENCE);
+        start(backend);
+        try (Socket client = connectClient()) {
+            writeText(client, partialPost("a", CLIENT_TIMEOUT_MILLIS, 10, 10));
+            assertNotNull(backend.nextRequest());
+            if (bytesAhead > 0) {
+                writeText(client, partialPost("b", CLIENT_TIMEOUT_MILLIS, bytesAhead, bytesAhead));
+            }
+        }
+        assertTrue(backend.awaitConnectionEnd(), "the attempt runs on");
+        awaitNothingInFlight();
+    }
+
     @Test
     void doesNotSendWhenClientLeavesBeforeTheDecision() throws Exception {
         mayCancel = false;
--- a/src/test/java/lemondrift/proxy/client/ReadAheadTest.java
+++ b/src/test/java/lemondrift/proxy/client/ReadAheadTest.java
@@ -1,5 +1,6 @@
 package lemondrift.proxy.client;
 
+import static lemondrift.proxy.DaemonThreads.startDaemon;
 import static lemondrift.proxy.HttpMessages.OK;
 import static lemondrift.proxy.HttpMessages.getRequest;
 import static lemondrift.proxy.HttpMessages.postHead;
@@ -19,6 +20,8 @@
 import lemondrift.proxy.ScriptedServer;
 import lemondrift.proxy.config.ProxyConfig;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests clients that send several requests at once. */
 class ReadAheadTest extends LoopbackFixture {
@@ -31,6 +34,9 @@
     /** Milliseconds after its close within which the proxy notices that a client has left. */
     private static final int CLOSE_NOTICED_MILLIS = 300;
 
+    /** Milliseconds for which the response to the first request is held back. */
+    private static final int RESPONSE_DELAY_MILLIS = 100;
+
     private static String requests(int count) {
         StringBuilder text = new StringBuilder();
         for (int number = 0; number < count; number++) {
@@ -101,15 +107,20 @@
      * Guards against a request that is forwarded but not answered, and against a reset that
      * destroys a response, if a client sends more ahead than the proxy keeps.
      */
-    @Test
-    void closesAfterResponseToClientThatSendsMoreAheadThanTheBudget() throws Exception {
-        int count = 500;
+    @ParameterizedTest
+    @ValueSource(ints = {500, 8000})
+    void closesAfterResponseToClientThatSendsMoreAheadThanTheBudget(int count) throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         ScriptedServer backend = backend(release);
         start(backend);
         try (Socket client = connect(READ_TIMEOUT_MILLIS)) {
+            startDaemon(
+                    () -> {
+                        backend.requests.take();
+                        Thread.sleep(RESPONSE_DELAY_MILLIS);
+                        release.countDown();
+                    });
             writeText(client, requests(count));
-            release.countDown();
             int served = 0;
             String response = readMessage(client);
             while (response != null) {
@@ -119,7 +130,7 @@
                 response = readMessage(client);
             }
             assertTrue(served > 0, "the connection ends in order, after a response");
-            assertEquals(served, backend.requests.size(), "requests that reached the backend");
+            assertEquals(served - 1, backend.requests.size(), "others that reached the backend");
         }
         assertEquals(200, sendIdempotent().statusCode());
     }
